--- /dev/null
+++ b/src/adapter/wire.cpp
@@ -0,0 +1,436 @@
+#include "adapter/wire.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace rockcrank::wire {
+namespace {
+
+constexpr std::int64_t id_end = std::int64_t{1} << 32;
+constexpr std::int64_t exact_end = std::int64_t{1} << 53;
+constexpr std::int64_t longest_timer = 71LL * 60 * 1000 * 1000;
+
+std::string quoted(std::string_view text) { return "'" + std::string(text.substr(0, 60)) + "'"; }
+
+std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high) {
+  std::int64_t value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error == std::errc::result_out_of_range) throw Fault(std::string(what) + " is out of range: " + quoted(text));
+  if (error != std::errc{} || end != text.data() + text.size())
+    throw Fault(std::string(what) + " is not a whole number: " + quoted(text));
+  if (value < low || value > high) throw Fault(std::string(what) + " is out of range: " + quoted(text));
+  return value;
+}
+
+double to_number(std::string_view text, const char* what) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
+    throw Fault(std::string(what) + " is not a number: " + quoted(text));
+  return value;
+}
+
+bool to_flag(std::string_view text, const char* what) {
+  if (text == "1" || text == "true") return true;
+  if (text == "0" || text == "false" || text == "-") return false;
+  throw Fault(std::string(what) + " is neither 1 nor 0: " + quoted(text));
+}
+
+Millis to_millis(std::int64_t micros) { return static_cast<Millis>(micros) / 1000.0; }
+
+template <typename Value>
+struct Word {
+  std::string_view name;
+  Value value;
+};
+
+template <typename Value, std::size_t count>
+Value one_of(const std::array<Word<Value>, count>& words, std::string_view text, const char* what) {
+  for (const auto& word : words)
+    if (word.name == text) return word.value;
+  throw Fault("unknown " + std::string(what) + ": " + quoted(text));
+}
+
+constexpr std::array<Word<Ending>, 8> endings{{{"delivered", Ending::answered},
+                                               {"app_error", Ending::error},
+                                               {"shed", Ending::refused},
+                                               {"expired", Ending::timed_out},
+                                               {"dial_failed", Ending::not_connected},
+                                               {"dropped", Ending::broken},
+                                               {"revoked", Ending::called_off},
+                                               {"unused", Ending::not_sent}}};
+constexpr std::array<Word<Standing>, 3> standings{
+    {{"ready", Standing::listed}, {"draining", Standing::draining}, {"gone", Standing::gone}}};
+constexpr std::array<Word<Repeat>, 3> repeats{
+    {{"safe", Repeat::replayable}, {"keyed", Repeat::numbered}, {"unsafe", Repeat::binding}}};
+
+// The settings as path=value pairs, looked up by path; paths that nobody asks for are skipped.
+class Pairs {
+ public:
+  explicit Pairs(std::string_view text) {
+    while (!text.empty()) {
+      auto space = text.find(' ');
+      auto pair = text.substr(0, space);
+      text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
+      auto equals = pair.find('=');
+      if (equals == std::string_view::npos) {
+        if (pair.empty() || pair == "-") continue;
+        throw Fault("a setting has no '=': " + quoted(pair));
+      }
+      values_[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
+    }
+  }
+  std::string_view text(const std::string& path) const {
+    auto found = values_.find(path);
+    return found == values_.end() || found->second == "-" ? std::string_view{} : std::string_view(found->second);
+  }
+  double number(const std::string& path, double absent = 0) const {
+    auto value = text(path);
+    return value.empty() ? absent : to_number(value, path.c_str());
+  }
+  int count(const std::string& path, int absent = 0) const {
+    auto value = text(path);
+    return value.empty() ? absent
+                         : static_cast<int>(to_integer(value, path.c_str(), 0, std::numeric_limits<int>::max()));
+  }
+  Millis time(const std::string& path) const { return number(path) / 1000.0; }
+  bool flag(const std::string& path) const {
+    auto value = text(path);
+    return !value.empty() && to_flag(value, path.c_str());
+  }
+  std::vector<std::string_view> list(const std::string& path) const {
+    std::vector<std::string_view> parts;
+    auto rest = text(path);
+    while (!rest.empty()) {
+      auto comma = rest.find(',');
+      parts.push_back(rest.substr(0, comma));
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+    return parts;
+  }
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+}  // namespace
+
+std::string_view Fields::word(const char* what) {
+  if (rest_.empty()) throw Fault(std::string(what) + " is missing");
+  auto space = rest_.find(' ');
+  auto found = rest_.substr(0, space);
+  rest_ = space == std::string_view::npos ? std::string_view{} : rest_.substr(space + 1);
+  if (found.empty()) throw Fault(std::string(what) + " is empty");
+  return found;
+}
+
+std::int64_t Fields::integer(const char* what, std::int64_t low, std::int64_t high) {
+  return to_integer(word(what), what, low, high);
+}
+
+std::int64_t Fields::integer_or(const char* what, std::int64_t low, std::int64_t high, std::int64_t absent) {
+  auto text = word(what);
+  return text == "-" ? absent : to_integer(text, what, low, high);
+}
+
+double Fields::number(const char* what) { return to_number(word(what), what); }
+
+bool Fields::flag(const char* what) { return to_flag(word(what), what); }
+
+void Fields::end() {
+  if (!rest_.empty()) throw Fault("more on the line than expected: " + quoted(rest_));
+}
+
+Settings decode_settings(std::string_view text) {
+  Pairs pairs(text);
+  Settings settings;
+  settings.relays = std::max(1, pairs.count("balancers", 1));
+  settings.hall = HallId(pairs.count("az"));
+  settings.slots = pairs.count("specifics.slots", 1);
+  settings.room = pairs.count("limits.openCap");
+  settings.max_transmissions = pairs.count("limits.maxAttempts", 1);
+  settings.second_copies = pairs.flag("limits.mayDuplicate");
+  settings.probes = pairs.flag("limits.probes");
+  settings.value_halves = pairs.text("specifics.decay") == "halving";
+  auto weights = pairs.text("weightKind");
+  settings.limits_listed = weights == "nominal" || weights == "rough";
+  settings.tick = pairs.time("tickUs");
+  settings.drain_grace = pairs.time("rules.drainGraceUs");
+  settings.fall_multiple = pairs.number("rules.fallMultiple", 1);
+  settings.fall_span = pairs.time("rules.fallUs");
+  settings.start_capacity = pairs.number("rules.startCapacity", 1);
+  settings.warm_within = pairs.time("rules.warmWithinUs");
+  settings.order_rest = pairs.time("rules.orderSettleUs");
+  if (pairs.flag("limits.retryAfter")) settings.reject_wait_max = pairs.time("limits.maxRetryAfterUs");
+  for (int i = 0; i < pairs.count("classes.count"); ++i) {
+    auto path = "classes." + std::to_string(i) + ".";
+    DocType type;
+    type.agreed_time = pairs.time(path + "goalTimeUs");
+    type.lifetime = pairs.time(path + "deadlineUs");
+    type.value = pairs.number(path + "worth", 1);
+    type.late_value = pairs.number(path + "lateWorth");
+    auto repeat = pairs.text(path + "repeat");
+    if (!repeat.empty()) type.repeat = one_of(repeats, repeat, "repeat");
+    type.key_group = pairs.text(path + "keyScope") == "all" ? KeyGroup::everywhere : KeyGroup::hall;
+    type.key_window = pairs.time(path + "windowUs");
+    type.in_order = pairs.flag(path + "inOrder");
+    settings.doc_types.push_back(type);
+  }
+  auto apart = pairs.list("specifics.routesApart");
+  auto bundles = pairs.list("specifics.bundleMax");
+  auto kinds = std::max({std::size_t{1}, pairs.list("skus").size(), apart.size(), bundles.size()});
+  for (std::size_t i = 0; i < kinds; ++i) {
+    Kind kind;
+    if (i < apart.size()) kind.routes_apart = to_flag(apart[i], "specifics.routesApart");
+    if (i < bundles.size())
+      kind.bundle_max = static_cast<int>(to_integer(bundles[i], "specifics.bundleMax", 1, id_end));
+    settings.kinds.push_back(kind);
+  }
+  for (int i = 0; i < pairs.count("orgs.count"); ++i)
+    settings.tenant_rates.push_back(pairs.number("orgs." + std::to_string(i) + ".allowancePerS"));
+  return settings;
+}
+
+bool Host::next_line() {
+  if (!std::getline(in_, line_)) return false;
+  ++line_number_;
+  if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+  return true;
+}
+
+void Host::run() {
+  while (next_line()) {
+    if (line_.empty()) continue;
+    Fields fields(line_);
+    auto name = fields.word("message");
+    if (name != "turn") throw Fault("a batch opens with 'turn', not " + quoted(name));
+    auto clock = fields.integer("clock", 0, exact_end);
+    auto number = fields.integer("batch number", 0, exact_end);
+    fields.end();
+    turn(clock, number);
+  }
+}
+
+void Host::turn(std::int64_t clock, std::int64_t number) {
+  acting_.clear();
+  while (true) {
+    if (!next_line()) throw Fault("the input ends inside a batch");
+    if (line_.empty()) throw Fault("an empty line inside a batch");
+    Fields fields(line_);
+    auto name = fields.word("message");
+    if (name == "eob") {
+      fields.end();
+      break;
+    }
+    event(name, fields, clock);
+  }
+  for (int relay : acting_) {
+    auto found = instances_.find(relay);
+    if (found != instances_.end()) answer(relay, found->second, clock);
+  }
+  out_ << "next " << number << '\n';
+  out_.flush();
+}
+
+template <typename Call>
+void Host::guarded(Instance& instance, Call call) {
+  if (!instance.fault.empty()) return;
+  try {
+    call(instance.decision);
+  } catch (const std::exception& error) {
+    instance.fault = error.what();
+    if (instance.fault.empty()) instance.fault = "an exception without a text";
+  }
+}
+
+Host::Instance& Host::instance_of(Fields& fields, std::int64_t clock) {
+  auto relay = static_cast<int>(fields.integer("instance", 0, std::numeric_limits<int>::max()));
+  auto found = instances_.find(relay);
+  if (found == instances_.end()) throw Fault("unknown instance: " + std::to_string(relay));
+  if (acting_.insert(relay).second) guarded(found->second, [&](Decision& d) { d.begin(to_millis(clock)); });
+  return found->second;
+}
+
+void Host::event(std::string_view name, Fields& fields, std::int64_t clock) {
+  if (name == "register") return register_list(fields);
+  if (name == "power_on") return power_on(fields, clock);
+  if (name == "retire") {
+    auto relay = static_cast<int>(fields.integer("instance", 0, std::numeric_limits<int>::max()));
+    if (!instances_.erase(relay)) throw Fault("unknown instance: " + std::to_string(relay));
+    acting_.erase(relay);
+    return fields.end();
+  }
+  constexpr std::array<std::string_view, 7> known{"update",      "arrival", "health", "opened",
+                                                  "reply", "client_left", "wakeup"};
+  if (name != "message" && std::find(known.begin(), known.end(), name) == known.end())
+    throw Fault("unknown message: " + quoted(name));
+  Instance& instance = instance_of(fields, clock);
+  if (name == "update") {
+    update(fields, instance);
+  } else if (name == "arrival") {
+    Document doc;
+    doc.id = DocId(fields.integer("opId", 0, id_end - 1));
+    doc.type = DocTypeId(fields.integer("profile", 0, instance.doc_types - 1));
+    doc.tenant = TenantId(fields.integer_or("customer", 0, id_end - 1, 0));
+    auto key = fields.integer_or("key", 0, exact_end, -1);
+    doc.has_key = key >= 0;
+    doc.key = KeyId(doc.has_key ? key : 0);
+    doc.left = to_millis(fields.integer("leftUs", -exact_end, exact_end));
+    fields.integer_or("expectedUs", 0, exact_end, 0);
+    doc.destination = DestinationId(fields.integer("addresseeNo", 0, exact_end));
+    fields.integer_or("marks", 0, id_end, 0);
+    guarded(instance, [&](Decision& d) { d.take(doc); });
+  } else if (name == "health") {
+    bool answered = one_of(endings, fields.word("ending"), "ending") == Ending::answered;
+    fields.integer("delaySeenUs", 0, exact_end);
+    auto endpoint = endpoint_id(fields.word("endpoint"));
+    auto hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"));
+    guarded(instance, [&](Decision& d) { d.probed(endpoint, answered, hints); });
+  } else if (name == "opened") {
+    fields.integer("opId", 0, id_end - 1);
+    fields.integer("trial", 0, id_end);
+    fields.word("endpoint");
+    fields.integer("delaySeenUs", 0, exact_end);
+  } else if (name == "reply") {
+    reply(fields, instance);
+  } else if (name == "client_left") {
+    auto id = DocId(fields.integer("opId", 0, id_end - 1));
+    guarded(instance, [&](Decision& d) { d.withdraw(id); });
+  } else if (name == "wakeup") {
+    fields.word("label");
+    instance.wake_at = -1;
+  } else {
+    fields.integer("src", 0, id_end);
+    fields.word("data");
+  }
+  fields.end();
+}
+
+void Host::power_on(Fields& fields, std::int64_t clock) {
+  auto relay = static_cast<int>(fields.integer("instance", 0, std::numeric_limits<int>::max()));
+  auto salt = static_cast<std::uint64_t>(fields.integer("salt", 0, std::numeric_limits<std::int64_t>::max()));
+  auto settings = decode_settings(fields.text());
+  instances_.erase(relay);
+  auto kinds = static_cast<int>(settings.kinds.size());
+  auto doc_types = static_cast<int>(settings.doc_types.size());
+  auto& instance =
+      instances_.emplace(relay, Instance{Decision(settings, salt), kinds, doc_types, -1, {}}).first->second;
+  acting_.insert(relay);
+  guarded(instance, [&](Decision& d) { d.begin(to_millis(clock)); });
+}
+
+void Host::register_list(Fields& fields) {
+  auto slot = static_cast<int>(fields.integer("slot", 0, 15));
+  auto count = fields.integer("rowsIn", 0, id_end);
+  fields.end();
+  auto& list = lists_[slot];
+  list.clear();
+  for (std::int64_t i = 0; i < count; ++i) {
+    if (!next_line()) throw Fault("the input ends inside a list");
+    Fields row(line_);
+    if (line_.empty() || row.word("entry") != "entry") throw Fault("fewer entries than the list announces");
+    EndpointEntry entry;
+    row.integer_or("startedAtUs", 0, exact_end, 0);
+    entry.endpoint = endpoint_id(row.word("endpoint"));
+    entry.standing = one_of(standings, row.word("condition"), "condition");
+    entry.destination = DestinationId(row.integer("ownerNo", 0, exact_end));
+    entry.kind = KindId(row.integer_or("machine", 0, id_end, 0));
+    auto scale = row.word("scale");
+    entry.listed_rate = scale == "-" ? 0 : to_number(scale, "scale");
+    entry.hall = HallId(row.integer_or("dc", 0, id_end, 0));
+    row.end();
+    list.push_back(entry);
+  }
+}
+
+void Host::update(Fields& fields, Instance& instance) {
+  auto scope = fields.word("scope");
+  if (scope == "FAILED") {
+    fields.text();
+    return;
+  }
+  if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED") throw Fault("unknown scope: " + quoted(scope));
+  auto slot = static_cast<int>(fields.integer("slot", 0, 15));
+  fields.integer_or("index", 0, exact_end, 0);
+  auto found = lists_.find(slot);
+  if (found == lists_.end()) throw Fault("no list has the number " + std::to_string(slot));
+  for (const auto& entry : found->second)
+    if (static_cast<std::int64_t>(entry.kind) >= instance.kinds) throw Fault("machine is out of range in the list");
+  guarded(instance, [&](Decision& d) { d.list(found->second, scope != "INCREMENTAL"); });
+}
+
+void Host::reply(Fields& fields, Instance& instance) {
+  Outcome outcome;
+  outcome.doc = DocId(fields.integer("opId", 0, id_end - 1));
+  outcome.transmission = static_cast<int>(fields.integer("trial", 0, std::numeric_limits<int>::max()));
+  auto note = static_cast<double>(fields.integer_or("waitMs", 0, exact_end, 0));
+  outcome.over = fields.flag("last");
+  outcome.took = to_millis(fields.integer("delaySeenUs", 0, exact_end));
+  outcome.ending = one_of(endings, fields.word("ending"), "ending");
+  outcome.endpoint = endpoint_id(fields.word("endpoint"));
+  outcome.hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"));
+  if (outcome.ending == Ending::refused) outcome.wait = note;
+  if (outcome.ending == Ending::not_sent) outcome.no_slot = note != 0;
+  guarded(instance, [&](Decision& d) { d.outcome(outcome); });
+}
+
+EndpointId Host::endpoint_id(std::string_view address) {
+  // FNV-1a over the address text: the same id in every process, whatever came first.
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (unsigned char c : address) hash = (hash ^ c) * 1099511628211ULL;
+  auto [place, fresh] = addresses_.try_emplace(hash, address);
+  if (!fresh && place->second != address) throw Fault("two addresses share an id: " + quoted(address));
+  return EndpointId(hash);
+}
+
+Hints Host::hints_of(std::string_view text) {
+  Hints hints;
+  if (text == "-") return hints;
+  while (!text.empty()) {
+    auto comma = text.find(',');
+    auto pair = text.substr(0, comma);
+    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    auto colon = pair.find(':');
+    if (colon == std::string_view::npos) throw Fault("a report value has no ':': " + quoted(pair));
+    auto name = pair.substr(0, colon);
+    auto value = to_number(pair.substr(colon + 1), "report value");
+    if (name == "x0") hints.left_share = value;
+    if (name == "x1") hints.limit = value;
+    hints.told = hints.told || name == "x1";
+  }
+  return hints;
+}
+
+void Host::answer(int number, Instance& instance, std::int64_t clock) {
+  Decided decided;
+  guarded(instance, [&](Decision& d) { decided = d.decide(); });
+  if (!instance.fault.empty()) {
+    for (char& c : instance.fault)
+      if (c == '\n' || c == '\r') c = ' ';
+    out_ << "panic " << number << ' ' << instance.fault << '\n';
+    return;
+  }
+  for (const auto& line : decided.log) out_ << "say_log " << number << ' ' << line << '\n';
+  for (const auto& reject : decided.rejected)
+    out_ << "overload_reply " << number << ' ' << static_cast<std::uint64_t>(reject.doc) << ' '
+         << static_cast<std::int64_t>(std::ceil(reject.wait * 1000.0)) << '\n';
+  for (DocId doc : decided.abandoned)
+    out_ << "drop_request " << number << ' ' << static_cast<std::uint64_t>(doc) << '\n';
+  for (const auto& sent : decided.transmitted)
+    out_ << "hand_off " << number << ' ' << static_cast<std::uint64_t>(sent.doc) << ' '
+         << static_cast<std::int64_t>(std::floor(sent.time_out * 1000.0)) << ' '
+         << addresses_.at(static_cast<std::uint64_t>(sent.endpoint)) << '\n';
+  for (EndpointId endpoint : decided.probes)
+    out_ << "ping " << number << ' ' << addresses_.at(static_cast<std::uint64_t>(endpoint)) << '\n';
+  if (decided.wake_in < 0) return;
+  auto in = std::min(longest_timer, std::max<std::int64_t>(1, std::ceil(decided.wake_in * 1000.0)));
+  if (instance.wake_at >= 0 && instance.wake_at <= clock + in) return;  // a timer that fires sooner is set
+  instance.wake_at = clock + in;
+  out_ << "wake_at " << number << ' ' << in << " due\n";
+}
+
+}  // namespace rockcrank::wire
--- /dev/null
+++ b/src/decision/decision.cpp
@@ -0,0 +1,598 @@
+// All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin, list,
+// take, outcome, probed, withdraw) and calls decide(), which goes through the ordered rules at the end of this
+// file until none fires and answers what to send, reject or abandon, and when to be called again at the latest.
+// docs/design.md says which parts are the design's and under which condition each departure acts.
+#include "decision/decision.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace rockcrank {
+namespace {
+
+constexpr Millis never = 1e18;
+
+// The design's own values.
+constexpr Millis ladder_base = 500;
+constexpr double ladder_jitter = 0.2;
+constexpr int failures_to_open = 5;
+constexpr Millis trial_pause = 1000;
+constexpr double slot_share = 0.75;
+constexpr Millis slow_call = 3000;
+constexpr double slow_share = 0.01;
+
+// A sum that fades with its span, brought up to date when it is read.
+class Fading {
+ public:
+  explicit Fading(Millis span) : span_(span) {}
+  void add(Millis now, double amount) {
+    read(now);
+    sum_ += amount;
+  }
+  double read(Millis now) {
+    if (now > at_) sum_ *= std::exp((at_ - now) / span_);
+    at_ = std::max(at_, now);
+    return sum_;
+  }
+  double per_second(Millis now) { return read(now) * 1000 / span_; }
+
+ private:
+  Millis span_, at_ = 0;
+  double sum_ = 0;
+};
+
+enum class Mode { closed, open, trial, following };
+
+// What limits and outages apply to: a destination, or one endpoint where its routes are apart.
+struct Route {
+  std::uint64_t name = 0;
+  int bundle_max = 1;
+  double limit = 0, left_share = 1;  // calls a second from all relays, listed or told; 0: not known
+  Millis hinted_at = -never, told_until = -never;
+  Mode mode = Mode::closed;
+  int failures_in_row = 0, follow_left = 0, calls_out = 0;
+  Millis opened_at = -never, trial_at = 0, failing_since = never, cold_since = -never;
+  double rate_before = 0, own_pace = 0, patience = 1;
+  Millis paced_at = -never, next_call = 0;
+  Fading calls{8000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{20000}, timed{20000};
+};
+
+struct Endpoint {
+  EndpointId id{};
+  DestinationId destination{};
+  HallId hall{};
+  Standing standing = Standing::listed;
+  Route* route = nullptr;
+  std::uint64_t rank = 0;
+  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, once met; 0: not met
+  Millis rests_until = -never, answered_at = -never, room_met_at = -never;
+};
+
+struct Call {
+  Route* route = nullptr;
+  Endpoint* endpoint = nullptr;
+  Millis sent = 0;
+  int docs = 0;
+  bool counted = false;
+};
+
+struct Doc {
+  DocId id{};
+  const DocType* type = nullptr;
+  DestinationId destination{};
+  bool over_share = false, ordered = false;
+  KeyId key{};
+  std::uint64_t turn_taken = 0;
+  Millis agreed_by = 0, expiry = 0, not_before = 0;
+  int tries = 0, failures = 0, out = 0;
+  bool may_have_run = false;
+  Millis risked_at = never;  // the send of the first transmission that may have run
+  HallId risked_hall{};
+};
+
+// Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
+struct KeyLane {
+  std::set<std::uint64_t> waiting;
+  int out = 0;
+  Millis rests_until = -never;
+};
+
+std::uint64_t mixed(std::uint64_t a, std::uint64_t b) {
+  std::uint64_t x = a * 0x9e3779b97f4a7c15ULL + b;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+}  // namespace
+
+class Decision::Relay {
+ public:
+  Relay(const Settings& settings, std::uint64_t seed)
+      : set_(settings), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+    for (double rate : set_.tenant_rates) shares_.push_back({Fading(4000), rate / set_.relays});
+  }
+
+  void begin(Millis now) {
+    // A stall of the relay itself: what fell due meanwhile must not go at once, so its waits are drawn anew.
+    if (now > due_ + stall && due_ > 0)
+      for (auto& [id, doc] : docs_)
+        if (doc.tries > 0 && doc.not_before <= now) doc.not_before = now + drawn(0, ladder_base);
+    now_ = now;
+    ++turn_;
+    done_ = {};
+    bundles_.clear();
+  }
+
+  void list(const std::vector<EndpointEntry>& entries, bool whole) {
+    if (whole)
+      for (auto& [id, endpoint] : endpoints_) endpoint.standing = Standing::gone;
+    for (const auto& entry : entries) {
+      Endpoint& endpoint = endpoints_[entry.endpoint];
+      if (!endpoint.route) {
+        const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
+        auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint)
+                                      : static_cast<std::uint64_t>(entry.destination);
+        endpoint.id = entry.endpoint;
+        endpoint.destination = entry.destination;
+        endpoint.hall = entry.hall;
+        endpoint.route = &routes_[{kind.routes_apart, name}];
+        endpoint.route->name = name;
+        endpoint.route->bundle_max = kind.bundle_max;
+        endpoint.rank = mixed(static_cast<std::uint64_t>(entry.destination), static_cast<std::uint64_t>(entry.endpoint));
+        ranking_[entry.destination].push_back(&endpoint);
+        // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs time and money.
+        std::sort(ranking_[entry.destination].begin(), ranking_[entry.destination].end(),
+                  [&](const Endpoint* a, const Endpoint* b) {
+                    return std::tuple(a->hall != set_.hall, a->rank) < std::tuple(b->hall != set_.hall, b->rank);
+                  });
+      }
+      endpoint.standing = entry.standing;
+      if (set_.limits_listed && endpoint.route->hinted_at < 0) endpoint.route->limit = entry.listed_rate;
+    }
+  }
+
+  void take(const Document& given) {
+    Doc& doc = docs_[given.id];
+    doc.id = given.id;
+    doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
+    doc.destination = given.destination;
+    doc.expiry = now_ + given.left;
+    doc.agreed_by = doc.expiry - doc.type->lifetime + doc.type->agreed_time;
+    doc.turn_taken = ++taken_;
+    doc.ordered = doc.type->in_order && given.has_key;
+    doc.key = given.key;
+    if (doc.ordered) lanes_[doc.key].waiting.insert(doc.turn_taken);
+    auto tenant = static_cast<std::size_t>(given.tenant);
+    if (tenant < shares_.size()) {
+      shares_[tenant].first.add(now_, 1);
+      doc.over_share = shares_[tenant].first.per_second(now_) > shares_[tenant].second * share_slack;
+    }
+  }
+
+  void outcome(const Outcome& got) {
+    auto found = out_.find({got.doc, got.transmission});
+    if (found == out_.end()) return;
+    auto [call_number, lane_key, ordered] = found->second;
+    out_.erase(found);
+    Call& call = calls_[call_number];
+    bool never_ran = got.ending == Ending::refused || got.ending == Ending::not_connected ||
+                     got.ending == Ending::not_sent;
+    if (ordered) {
+      KeyLane& lane = lanes_[lane_key];
+      --lane.out;
+      bool unknown = got.ending == Ending::timed_out || got.ending == Ending::broken || got.ending == Ending::called_off;
+      if (unknown) lane.rests_until = std::max(lane.rests_until, now_ + set_.order_rest);
+    }
+    // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
+    if (got.wait > 0) call.route->told_until = std::max(call.route->told_until, now_ + got.wait);
+    if (!call.counted && got.ending != Ending::not_sent && got.ending != Ending::called_off) count(call, got);
+    call.counted = true;
+    if (--call.docs == 0) {
+      --call.route->calls_out;
+      --call.endpoint->calls_out;
+      --calls_out_;
+    }
+    auto holder = docs_.find(got.doc);
+    if (holder != docs_.end()) {
+      Doc& doc = holder->second;
+      --doc.out;
+      if (!never_ran && got.ending != Ending::answered) note_risk(doc, call);
+      if (never_ran && doc.out == 0 && !doc.may_have_run) doc.risked_at = never;
+      if (got.over) {
+        close(doc);
+      } else if (got.ending == Ending::not_sent) {
+        doc.not_before = now_ + set_.tick;
+      } else {
+        // The ladder: base x 2^(try-1), varied; after a told wait the wait itself rules.
+        ++doc.failures;
+        Millis pause = ladder_base * std::exp2(std::min(doc.failures, 16) - 1);
+        doc.not_before = now_ + pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
+      }
+    }
+    if (call.docs == 0) calls_.erase(call_number);
+  }
+
+  void probed(EndpointId, bool, const Hints&) {}
+
+  void withdraw(DocId id) {
+    auto found = docs_.find(id);
+    if (found != docs_.end()) close(found->second);
+  }
+
+  Decided decide() {
+    for (bool fired = true; fired;) {
+      fired = false;
+      for (const RouteRule& rule : route_rules)
+        for (auto& [key, route] : routes_)
+          if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
+      waiting_.clear();
+      for (auto& [id, doc] : docs_) waiting_.push_back({urgency(doc), &doc});
+      std::sort(waiting_.begin(), waiting_.end());
+      for (const DocRule& rule : doc_rules)
+        for (auto& [grade, doc] : waiting_)
+          if (doc && (this->*rule.when)(*doc)) {
+            DocId id = doc->id;
+            (this->*rule.then)(*doc), fired = true;
+            if (!docs_.count(id)) doc = nullptr;
+          }
+    }
+    due_ = next_due();
+    done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
+    return std::move(done_);
+  }
+
+ private:
+  struct RouteRule {
+    const char* name;
+    bool (Relay::*when)(Route&);
+    void (Relay::*then)(Route&);
+  };
+  struct DocRule {
+    const char* name;
+    bool (Relay::*when)(Doc&);
+    void (Relay::*then)(Doc&);
+  };
+  using Grade = std::tuple<int, double, std::uint64_t>;
+
+  static constexpr Millis stall = 1000;
+  static constexpr double share_slack = 1.3;
+  static constexpr int follow_calls = 3;
+
+  double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
+
+  void log(const Route& route, const char* what, double a, double b) {
+    char line[110];
+    std::snprintf(line, sizeof line, "%s to %llx: %.3g, %.3g", what, static_cast<unsigned long long>(route.name), a, b);
+    done_.log.push_back(line);
+  }
+
+  Millis margin() const { return 2 * set_.tick; }
+
+  // Health, latency and pace of a route, from one call's end.
+  void count(Call& call, const Outcome& got) {
+    Route& route = *call.route;
+    Endpoint& endpoint = *call.endpoint;
+    if (got.hints.told) {
+      route.limit = got.hints.limit > 0 ? got.hints.limit : (set_.limits_listed ? route.limit : 0);
+      route.left_share = got.hints.limit > 0 ? got.hints.left_share : 1;
+      route.hinted_at = now_;
+    }
+    route.ended.add(now_, 1);
+    if (got.took > slow_call) route.slow.add(now_, 1);
+    bool stale = call.sent < route.opened_at;
+    if (got.ending == Ending::answered) {
+      route.took.add(now_, got.took);
+      route.timed.add(now_, 1);
+      route.good.add(now_, 1);
+      route.patience = std::max(1.0, route.patience * 0.9);
+      endpoint.failures_in_row = 0;
+      endpoint.answered_at = now_;
+      if (!stale) succeeded(route);
+      return;
+    }
+    // At a connection cap some calls get in; a dead endpoint answers none. Only the latter is a failure of health.
+    if (got.ending == Ending::not_connected && endpoint.answered_at > call.sent - 2000 && endpoint.calls_out > 1) {
+      endpoint.room = std::max(1, endpoint.calls_out - 1);
+      endpoint.room_met_at = now_;
+      return;
+    }
+    if (got.ending == Ending::refused) {
+      if (now_ > route.paced_at + 300) {
+        double least = route.limit > 0 ? 0.6 * route.limit / set_.relays : 0.5;
+        route.own_pace = std::max(least, 0.8 * route.recent.per_second(now_));
+        route.paced_at = now_;
+      }
+      if (got.wait > 0) return;
+    } else {
+      route.bad.add(now_, 1);
+      ++endpoint.failures_in_row;
+      if (endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + trial_pause * drawn(0.8, 1.2) * 2;
+      if (got.ending == Ending::timed_out) route.patience = std::min(6.0, route.patience * 1.5);
+    }
+    if (route.failing_since >= never) {
+      route.failing_since = now_;
+      if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
+    }
+    if (stale) return;
+    ++route.failures_in_row;
+    if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
+  }
+
+  void succeeded(Route& route) {
+    double failing = route.bad.read(now_) / (route.bad.read(now_) + route.good.read(now_));
+    // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
+    bool outage = route.mode != Mode::closed ? now_ - route.failing_since > 2500 || failing > 0.1 : failing > 0.35;
+    if (route.failing_since < never && outage) {
+      if (now_ > route.cold_since + set_.warm_within) log(route, "cold return", route.rate_before, failing);
+      route.cold_since = now_;
+    }
+    if (route.mode == Mode::closed) route.failing_since = never;
+    route.failures_in_row = 0;
+    if (route.mode == Mode::trial) {
+      route.mode = Mode::following;
+      route.follow_left = follow_calls;
+    } else if (route.mode == Mode::following && --route.follow_left <= 0) {
+      route.mode = Mode::closed;
+      route.failing_since = never;
+      log(route, "breaker closed", now_ - route.opened_at, failing);
+    }
+  }
+
+  void open(Route& route) {
+    if (route.mode == Mode::closed)
+      log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
+    route.mode = Mode::open;
+    route.opened_at = now_;
+    route.trial_at = now_ + trial_pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
+  }
+
+  void note_risk(Doc& doc, const Call& call) {
+    if (!doc.may_have_run) {
+      doc.risked_at = call.sent;
+      doc.risked_hall = call.endpoint->hall;
+    }
+    doc.may_have_run = true;
+  }
+
+  void close(Doc& doc) {
+    if (doc.ordered) lanes_[doc.key].waiting.erase(doc.turn_taken);
+    docs_.erase(doc.id);
+  }
+
+  // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
+  bool may_go_again(const Doc& doc, Millis when) const {
+    if (doc.out > 0) return false;
+    if (!doc.may_have_run || doc.type->repeat == Repeat::replayable) return true;
+    return doc.type->repeat == Repeat::numbered && when < doc.risked_at + doc.type->key_window - margin();
+  }
+  bool may_run_at(const Doc& doc, const Endpoint& endpoint) const {
+    bool elsewhere = doc.type->repeat == Repeat::numbered && doc.may_have_run &&
+                     doc.type->key_group == KeyGroup::hall && endpoint.hall != doc.risked_hall;
+    return may_go_again(doc, now_) && !elsewhere;
+  }
+
+  // Rule 2: a rejection tells the client that trying again is harmless.
+  bool may_reject(const Doc& doc) const {
+    if (doc.type->repeat == Repeat::replayable) return true;
+    if (doc.out > 0) return false;
+    if (!doc.may_have_run) return true;
+    return doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere;
+  }
+
+  // Rule 5: documents of one key one at a time, in order; the key rests after an unknown outcome.
+  bool in_turn(const Doc& doc) {
+    if (!doc.ordered) return true;
+    const KeyLane& lane = lanes_[doc.key];
+    if (*lane.waiting.begin() != doc.turn_taken) return false;
+    return doc.tries > 0 || (lane.out == 0 && now_ >= lane.rests_until);
+  }
+
+  bool sick(Route& route) {
+    if (route.slow.read(now_) > slow_share * route.ended.read(now_) && route.slow.read(now_) > 0.05) return true;
+    return route.bad.read(now_) > 0.25 * (route.good.read(now_) + route.bad.read(now_)) && route.bad.read(now_) > 0.2;
+  }
+
+  int cap(Route& route) {
+    int whole = std::max(1, static_cast<int>(slot_share * set_.slots));
+    return sick(route) ? std::max(1, whole / 2) : whole;
+  }
+
+  Millis usual(Route& route) {
+    double n = route.timed.read(now_);
+    return n > 0.01 ? route.took.read(now_) / n : 0;
+  }
+
+  // Calls a second that this relay allows itself on a route; limits are shared with relays unseen.
+  double pace(Route& route) {
+    double rate = never, part = 1.0 / set_.relays;
+    if (route.limit > 0) {
+      rate = route.limit;
+      if (route.hinted_at > now_ - 1500 && route.left_share < 0.5)
+        rate *= part + (1 - part) * std::max(0.0, route.left_share) * 2;
+    }
+    if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 8000));
+    Millis age = now_ - route.cold_since;
+    if (age < set_.warm_within) {
+      double full = std::max(route.rate_before, route.limit * part);
+      double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
+      rate = std::min(rate, std::max(0.4, full * ramp * (0.6 * set_.fall_multiple)));
+    }
+    return rate;
+  }
+
+  // Rules 3, 4 and 6 and the caps: when a call may go on this route; never means that an event must come first.
+  Millis free_at(Route& route) {
+    if (now_ < route.told_until) return route.told_until;
+    if (route.mode == Mode::open) return route.trial_at;
+    if (route.mode == Mode::trial && route.calls_out > 0) return never;
+    if (route.mode == Mode::following && route.calls_out >= 2) return never;
+    if (route.calls_out >= cap(route) || calls_out_ >= set_.slots) return never;
+    Millis ahead = now_ < route.cold_since + set_.warm_within ? 0 : 300;
+    return route.next_call <= now_ + ahead ? now_ : route.next_call - ahead;
+  }
+
+  bool joins(const Endpoint& endpoint) {
+    auto bundle = bundles_.find(endpoint.id);
+    return bundle != bundles_.end() && calls_[bundle->second].docs < endpoint.route->bundle_max &&
+           endpoint.route->mode == Mode::closed;
+  }
+
+  // First in rank until it has enough, then the next; failing ones rest while another can take the document.
+  Endpoint* choose(const Doc& doc) {
+    Endpoint* best = nullptr;
+    auto burden = [&](const Endpoint& e) {
+      return std::tuple(!joins(e), now_ < e.rests_until, e.failures_in_row > 0, e.calls_out);
+    };
+    for (Endpoint* e : ranking_[doc.destination]) {
+      if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
+      if (!joins(*e)) {
+        if (free_at(*e->route) > now_) continue;
+        if (e->room > 0 && now_ < e->room_met_at + 5000 && e->calls_out >= e->room) continue;
+      }
+      if (!best || burden(*e) < burden(*best)) best = e;
+    }
+    return best;
+  }
+
+  Millis time_out(const Doc& doc, Route& route) {
+    Millis left = doc.expiry - margin() - now_;
+    if (doc.type->repeat == Repeat::binding) return left;  // a time-out would only make its outcome unknown
+    Millis patient = std::max(doc.type->agreed_time, 6 * usual(route)) * route.patience;
+    return std::min(left, std::max(1500.0, patient));
+  }
+
+  // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
+  Grade urgency(const Doc& doc) {
+    Millis lead = 0;
+    auto ranked = ranking_.find(doc.destination);
+    if (ranked != ranking_.end() && !ranked->second.empty()) lead = usual(*ranked->second.front()->route);
+    if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
+    if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
+    double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
+    if (set_.value_halves && std::exp2(-late) <= doc.type->late_value) return {2, doc.expiry, doc.turn_taken};
+    return {1, -doc.agreed_by, doc.turn_taken};
+  }
+
+  // The rules: each a condition and an effect.
+  bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
+  void allow_trial(Route& route) { route.mode = Mode::trial; }
+
+  bool fails_in_row(Route& route) { return route.mode == Mode::closed && route.failures_in_row >= failures_to_open; }
+  void hold(Route& route) { open(route); }
+
+  // Rule 1: a final answer before the client's time is up.
+  bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
+  bool is_spent(Doc& doc) {
+    if (doc.out > 0) return false;
+    if (doc.tries >= set_.max_transmissions || doc.not_before >= doc.expiry - margin()) return true;
+    return !may_go_again(doc, std::max(now_, doc.not_before));
+  }
+  void end(Doc& doc) {
+    if (may_reject(doc))
+      done_.rejected.push_back({doc.id, 0});
+    else
+      done_.abandoned.push_back(doc.id);
+    close(doc);
+  }
+
+  // A full room turns away fresh documents at the door; the least urgent held one makes way.
+  bool crowds_out(Doc& doc) {
+    return set_.room > 0 && static_cast<int>(docs_.size()) >= set_.room && doc.out == 0 && may_reject(doc) &&
+           std::get<0>(urgency(doc)) >= 2;
+  }
+
+  bool can_go(Doc& doc) {
+    return doc.out == 0 && now_ >= doc.not_before && in_turn(doc) && choose(doc) != nullptr;
+  }
+  void transmit(Doc& doc) {
+    Endpoint& endpoint = *choose(doc);
+    Route& route = *endpoint.route;
+    if (!joins(endpoint)) {
+      bundles_[endpoint.id] = ++call_number_;
+      calls_[call_number_] = Call{&route, &endpoint, now_, 0, false};
+      ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
+      route.calls.add(now_, 1);
+      route.recent.add(now_, 1);
+      route.next_call = std::max(now_, route.next_call) + 1000 / pace(route);
+    } else if (now_ < route.cold_since + set_.warm_within) {
+      route.next_call += 250 / pace(route);
+    }
+    auto number = bundles_[endpoint.id];
+    ++calls_[number].docs;
+    done_.transmitted.push_back({doc.id, endpoint.id, time_out(doc, route)});
+    out_[{doc.id, doc.tries}] = {number, doc.key, doc.ordered};
+    if (doc.ordered) ++lanes_[doc.key].out;
+    ++doc.tries, ++doc.out;
+  }
+
+  Millis next_due() {
+    Millis due = never;
+    for (auto& [id, doc] : docs_) {
+      due = std::min(due, doc.expiry - margin());
+      if (doc.out > 0) continue;
+      if (doc.may_have_run && doc.type->repeat == Repeat::numbered)
+        due = std::min(due, std::max(now_, doc.risked_at + doc.type->key_window - margin()));
+      if (doc.not_before > now_) {
+        due = std::min(due, doc.not_before);
+        continue;
+      }
+      if (doc.ordered && lanes_[doc.key].rests_until > now_) due = std::min(due, lanes_[doc.key].rests_until);
+      for (Endpoint* e : ranking_[doc.destination])
+        if (e->standing == Standing::listed) {
+          Millis at = free_at(*e->route);
+          if (at > now_) due = std::min(due, at);
+          if (e->room > 0 && e->room_met_at + 5000 > now_) due = std::min(due, e->room_met_at + 5000);
+        }
+    }
+    return due;
+  }
+
+  static constexpr RouteRule route_rules[] = {
+      {"five failures in a row open", &Relay::fails_in_row, &Relay::hold},
+      {"one trial after the pause", &Relay::trial_is_due, &Relay::allow_trial},
+  };
+  static constexpr DocRule doc_rules[] = {
+      {"no time left", &Relay::out_of_time, &Relay::end},
+      {"transmissions spent", &Relay::is_spent, &Relay::end},
+      {"a full room", &Relay::crowds_out, &Relay::end},
+      {"may go", &Relay::can_go, &Relay::transmit},
+  };
+
+  const Settings set_;
+  std::minstd_rand chance_;
+  Millis now_ = 0, due_ = 0;
+  std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
+  int calls_out_ = 0;
+  std::map<std::pair<bool, std::uint64_t>, Route> routes_;
+  std::map<EndpointId, Endpoint> endpoints_;
+  std::map<DestinationId, std::vector<Endpoint*>> ranking_;
+  std::map<DocId, Doc> docs_;
+  std::map<KeyId, KeyLane> lanes_;
+  std::map<std::uint64_t, Call> calls_;
+  std::map<std::pair<DocId, int>, std::tuple<std::uint64_t, KeyId, bool>> out_;
+  std::map<EndpointId, std::uint64_t> bundles_;  // the call opened this turn, by endpoint
+  std::vector<std::pair<Fading, double>> shares_;
+  std::vector<std::pair<Grade, Doc*>> waiting_;
+  Decided done_;
+};
+
+Decision::Decision(const Settings& settings, std::uint64_t seed) : relay_(std::make_unique<Relay>(settings, seed)) {}
+Decision::~Decision() = default;
+Decision::Decision(Decision&&) noexcept = default;
+Decision& Decision::operator=(Decision&&) noexcept = default;
+void Decision::begin(Millis now) { relay_->begin(now); }
+void Decision::list(const std::vector<EndpointEntry>& entries, bool whole) { relay_->list(entries, whole); }
+void Decision::take(const Document& document) { relay_->take(document); }
+void Decision::outcome(const Outcome& outcome) { relay_->outcome(outcome); }
+void Decision::probed(EndpointId endpoint, bool ok, const Hints& hints) { relay_->probed(endpoint, ok, hints); }
+void Decision::withdraw(DocId doc) { relay_->withdraw(doc); }
+Decided Decision::decide() { return relay_->decide(); }
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/decision/decision.h
@@ -0,0 +1,147 @@
+// The interface of the decision module. A host makes one Decision for each running relay, reports what
+// happened in a turn by the calls below, and ends the turn with decide(), which answers what to do now
+// and when to be called again at the latest. Nothing here knows of a wire, a socket or a clock.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rockcrank {
+
+using Millis = double;
+
+enum class DocId : std::uint64_t {};
+enum class EndpointId : std::uint64_t {};
+enum class DestinationId : std::uint64_t {};
+enum class KeyId : std::uint64_t {};
+enum class TenantId : std::uint32_t {};
+enum class DocTypeId : std::uint32_t {};
+enum class KindId : std::uint32_t {};
+enum class HallId : std::uint32_t {};
+
+enum class Repeat { replayable, numbered, binding };
+enum class KeyGroup { everywhere, hall };
+
+struct DocType {
+  Millis agreed_time = 0;
+  Millis lifetime = 0;
+  double value = 1;
+  double late_value = 0;
+  Repeat repeat = Repeat::binding;
+  KeyGroup key_group = KeyGroup::everywhere;
+  Millis key_window = 0;
+  bool in_order = false;
+};
+
+struct Kind {
+  bool routes_apart = false;
+  int bundle_max = 1;
+};
+
+struct Settings {
+  int relays = 1;
+  HallId hall{};
+  int slots = 1;
+  int room = 0;  // documents held at once; 0: not limited
+  int max_transmissions = 1;
+  bool second_copies = false;
+  bool probes = false;
+  bool value_halves = false;  // each further agreed time; else evenly down to the expiry
+  bool limits_listed = false;
+  Millis tick = 0;
+  Millis drain_grace = 0;
+  double fall_multiple = 1;
+  Millis fall_span = 0;
+  double start_capacity = 1;
+  Millis warm_within = 0;
+  Millis order_rest = 0;
+  Millis reject_wait_max = 0;  // 0: clients are told no time to come back
+  std::vector<DocType> doc_types;
+  std::vector<Kind> kinds;
+  std::vector<double> tenant_rates;  // documents a second within a tenant's share, all relays together
+};
+
+enum class Standing { listed, draining, gone };
+
+struct EndpointEntry {
+  EndpointId endpoint{};
+  DestinationId destination{};
+  KindId kind{};
+  HallId hall{};
+  Standing standing = Standing::listed;
+  double listed_rate = 0;
+};
+
+struct Document {
+  DocId id{};
+  DocTypeId type{};
+  TenantId tenant{};
+  DestinationId destination{};
+  bool has_key = false;
+  KeyId key{};
+  Millis left = 0;
+};
+
+enum class Ending { answered, error, refused, timed_out, not_connected, broken, called_off, not_sent };
+
+struct Hints {
+  bool told = false;
+  double left_share = 0;
+  double limit = 0;  // calls a second; 0: no limit
+};
+
+struct Outcome {
+  DocId doc{};
+  int transmission = 0;
+  Ending ending = Ending::answered;
+  EndpointId endpoint{};
+  bool over = false;  // the document has its final answer
+  bool no_slot = false;
+  Millis wait = 0;
+  Millis took = 0;
+  Hints hints;
+};
+
+struct Transmit {
+  DocId doc{};
+  EndpointId endpoint{};
+  Millis time_out = 0;
+};
+
+struct Reject {
+  DocId doc{};
+  Millis wait = 0;
+};
+
+struct Decided {
+  std::vector<Reject> rejected;
+  std::vector<DocId> abandoned;
+  std::vector<Transmit> transmitted;
+  std::vector<EndpointId> probes;
+  std::vector<std::string> log;
+  Millis wake_in = -1;  // negative: only when something happens
+};
+
+class Decision {
+ public:
+  Decision(const Settings& settings, std::uint64_t seed);
+  ~Decision();
+  Decision(Decision&&) noexcept;
+  Decision& operator=(Decision&&) noexcept;
+
+  void begin(Millis now);
+  void list(const std::vector<EndpointEntry>& entries, bool whole);
+  void take(const Document& document);
+  void outcome(const Outcome& outcome);
+  void probed(EndpointId endpoint, bool answered, const Hints& hints);
+  void withdraw(DocId doc);
+  Decided decide();
+
+ private:
+  class Relay;
+  std::unique_ptr<Relay> relay_;
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/tests/scenario_test.cpp
@@ -0,0 +1,309 @@
+// Plays the scenarios of tests/scenarios, whose notation is told in tests/scenarios/README.txt. Endpoints answer as
+// the scenario says, the relay is woken when it asked, and the six rules are checked on every step.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+
+#include "adapter/wire.h"
+#include "decision/decision.h"
+
+namespace rockcrank {
+namespace {
+
+using Words = std::map<std::string, std::string>;
+
+double number(const Words& words, const std::string& name, double absent) {
+  auto found = words.find(name);
+  return found == words.end() ? absent : std::stod(found->second);
+}
+
+std::uint64_t tag(const std::string& name) { return std::stoull(name.substr(name.find_first_of("0123456789"))); }
+
+const std::map<std::string, Ending> endings{
+    {"answered", Ending::answered}, {"error", Ending::error}, {"refused", Ending::refused},
+    {"not_connected", Ending::not_connected}, {"broken", Ending::broken}};
+
+class Play {
+ public:
+  void line(const std::string& text) {
+    std::istringstream in(text.substr(0, text.find('#')));
+    std::string verb;
+    if (!(in >> verb)) return;
+    Words words;
+    std::vector<std::string> plain;
+    for (std::string word; in >> word;) {
+      auto equals = word.find('=');
+      if (equals == std::string::npos) plain.push_back(word);
+      else words[word.substr(0, equals)] = word.substr(equals + 1);
+    }
+    if (verb == "relay") relay(words);
+    else if (verb == "type") type(words);
+    else if (verb == "kind") set_.kinds.push_back({number(words, "apart", 0) > 0, int(number(words, "bundle", 1))});
+    else if (verb == "expect") expect(plain, words, text);
+    else if (verb[0] == '@') at(std::stod(verb.substr(1)), plain, words);
+    else FAIL() << "unknown line: " << text;
+  }
+
+ private:
+  struct Manner {
+    std::string ending = "answered";
+    double after = 100, wait = 0, every = 1, share = 0, limit = 0;
+  };
+  struct Sent {
+    Millis at;
+    DocId doc;
+    EndpointId endpoint;
+    int transmission;
+  };
+  struct Known {
+    Document doc;
+    Millis expiry;
+    int tries = 0, out = 0;
+    bool ended = false, may_have_run = false;
+    Millis first_send = 0;
+  };
+
+  void relay(const Words& w) {
+    set_.relays = int(number(w, "relays", 1)), set_.slots = int(number(w, "slots", 20));
+    set_.room = int(number(w, "room", 0)), set_.max_transmissions = int(number(w, "tries", 12));
+    set_.tick = 5, set_.drain_grace = 2000, set_.fall_multiple = number(w, "multiple", 2), set_.fall_span = 2000;
+    set_.start_capacity = number(w, "start", 0.2), set_.warm_within = number(w, "warm", 10000);
+    set_.order_rest = number(w, "rest", 0), set_.value_halves = number(w, "halves", 1) > 0;
+    set_.limits_listed = number(w, "listed", 0) > 0, seed_ = std::uint64_t(number(w, "seed", 7));
+    set_.reject_wait_max = 3000;
+  }
+  void type(const Words& w) {
+    DocType t;
+    t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000), t.value = number(w, "value", 1);
+    t.late_value = 0.3, t.key_window = number(w, "window", 12000), t.in_order = number(w, "ordered", 0) > 0;
+    auto repeat = w.count("repeat") ? w.at("repeat") : "replayable";
+    t.repeat = repeat == "binding" ? Repeat::binding : repeat == "numbered" ? Repeat::numbered : Repeat::replayable;
+    t.key_group = w.count("group") && w.at("group") == "hall" ? KeyGroup::hall : KeyGroup::everywhere;
+    set_.doc_types.push_back(t);
+  }
+
+  void at(Millis time, const std::vector<std::string>& plain, const Words& words) {
+    if (!decision_) decision_ = std::make_unique<Decision>(set_, seed_);
+    if (plain.at(0) == "end") {
+      turn_end();
+      run_until(time + set_.tick / 2);
+      now_ = time;
+      return;
+    }
+    if (time > now_) {
+      turn_end();
+      run_until(time);
+      now_ = time;
+    }
+    if (!open_) decision_->begin(now_), open_ = true;
+    const std::string& verb = plain.at(0);
+    if (verb == "list" || verb == "drain" || verb == "gone") {
+      EndpointEntry e{EndpointId(tag(plain.at(1))), DestinationId(number(words, "for", 1)), KindId(number(words, "kind", 0)),
+                      HallId(number(words, "hall", 0)), Standing::listed, number(words, "rate", 0)};
+      e.standing = verb == "list" ? Standing::listed : verb == "drain" ? Standing::draining : Standing::gone;
+      told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + set_.drain_grace;
+      owner_[e.endpoint] = set_.kinds.at(std::size_t(e.kind)).routes_apart ? 1000 + tag(plain.at(1)) : std::uint64_t(e.destination);
+      decision_->list({e}, false);
+    } else if (verb == "take") {
+      for (int i = 0; i < int(number(words, "times", 1)); ++i) {
+        Known k;
+        k.doc = {DocId(tag(plain.at(1)) + std::uint64_t(i)), DocTypeId(number(words, "type", 0)), TenantId(0),
+                 DestinationId(number(words, "for", 1)), words.count("key") > 0, KeyId(number(words, "key", 0)), 0};
+        k.doc.left = number(words, "left", set_.doc_types.at(std::size_t(k.doc.type)).lifetime);
+        k.expiry = now_ + k.doc.left;
+        known_[k.doc.id] = k;
+        order_.push_back(k.doc.id);
+        decision_->take(k.doc);
+      }
+    } else if (verb == "endpoint") {
+      manners_[EndpointId(tag(plain.at(1)))] = {plain.at(2), number(words, "after", 100), number(words, "wait", 0),
+                                                number(words, "every", 1), number(words, "share", 1), number(words, "limit", 0)};
+    } else if (verb == "stall") {
+      stalled_until_ = now_ + number(words, "for", 0);
+    } else if (verb == "restart") {
+      decision_ = std::make_unique<Decision>(set_, ++seed_);
+      decision_->begin(now_);
+      pending_.clear(), known_.clear(), rests_.clear(), waits_.clear();
+    } else {
+      FAIL() << "unknown event " << verb;
+    }
+  }
+
+  void turn_end() {
+    if (!open_) return;
+    open_ = false;
+    auto done = decision_->decide();
+    for (const auto& text : done.log) logs_.push_back(text);
+    for (const auto& r : done.rejected) final_answer(r.doc, true);
+    for (DocId d : done.abandoned) final_answer(d, false);
+    for (const auto& t : done.transmitted) send(t);
+    wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
+  }
+
+  void final_answer(DocId id, bool rejected) {
+    Known& k = known_.at(id);
+    EXPECT_FALSE(k.ended) << "rule 1: a second final answer for " << std::uint64_t(id);
+    EXPECT_LE(now_, k.expiry) << "rule 1: a late final answer for " << std::uint64_t(id);
+    auto& t = set_.doc_types.at(std::size_t(k.doc.type));
+    if (rejected && t.repeat == Repeat::binding)
+      EXPECT_TRUE(!k.may_have_run && k.out == 0) << "rule 2: rejected, yet it may have run";
+    k.ended = true;
+    (rejected ? rejected_ : abandoned_)[id] = now_;
+  }
+
+  void send(const Transmit& t) {
+    Known& k = known_.at(t.doc);
+    auto& type = set_.doc_types.at(std::size_t(k.doc.type));
+    EXPECT_FALSE(k.ended) << "rule 1: sent after its end";
+    EXPECT_LE(now_, told_off_[t.endpoint]) << "rule 3: sent past the grace of a drain";
+    EXPECT_GE(now_, waits_[owner_[t.endpoint]]) << "rule 6: sent inside a told wait at " << now_;
+    if (k.may_have_run || k.out > 0) {
+      EXPECT_NE(type.repeat, Repeat::binding) << "rule 2: a binding document went again";
+      if (type.repeat == Repeat::numbered) EXPECT_LT(now_, k.first_send + type.key_window) << "rule 2: past the window";
+    }
+    if (type.in_order && k.doc.has_key)
+      for (DocId other : order_) {
+        if (other == t.doc) break;
+        auto o = known_.find(other);
+        if (o == known_.end() || !o->second.doc.has_key || o->second.doc.key != k.doc.key) continue;
+        EXPECT_TRUE(o->second.ended && o->second.out == 0) << "rule 5: out of order";
+        if (k.tries == 0) EXPECT_GE(now_, rests_[k.doc.key]) << "rule 5: the key had to rest";
+      }
+    if (!k.may_have_run && k.out == 0) k.first_send = now_;
+    sent_.push_back({now_, t.doc, t.endpoint, k.tries});
+    Manner m = manners_[t.endpoint];
+    auto bundle = std::make_pair(now_, t.endpoint);
+    if (m.every > 1 && !bundled_.count(bundle) && ++counts_[t.endpoint] % int(m.every) != 0) m.ending = "answered";
+    bundled_.insert(bundle);
+    bool late = m.ending == "silent" || (t.time_out > 0 && m.after >= t.time_out);
+    Outcome o;
+    o.doc = t.doc, o.transmission = k.tries++, o.endpoint = t.endpoint;
+    o.ending = late ? Ending::timed_out : endings.at(m.ending);
+    o.took = late ? (t.time_out > 0 ? t.time_out : k.expiry - now_) : m.after;
+    if (o.ending == Ending::refused) o.wait = m.wait;
+    if (m.limit > 0) o.hints = {true, m.share, m.limit};
+    ++k.out;
+    pending_.emplace(now_ + std::ceil(o.took / set_.tick) * set_.tick, o);
+  }
+
+  void run_until(Millis time) {
+    while (true) {
+      Millis next = std::min(wake_, pending_.empty() ? 1e18 : pending_.begin()->first);
+      next = std::max(next, stalled_until_);
+      if (next >= time) return;
+      now_ = std::max(now_, next);
+      decision_->begin(now_), open_ = true;
+      while (!pending_.empty() && pending_.begin()->first <= now_) {
+        Outcome o = pending_.begin()->second;
+        pending_.erase(pending_.begin());
+        Known& k = known_.at(o.doc);
+        --k.out;
+        o.over = k.ended || o.ending == Ending::answered;
+        if (o.ending == Ending::answered && !k.ended) answered_[o.doc] = now_;
+        k.ended = o.over;
+        if (o.ending != Ending::refused && o.ending != Ending::not_connected) k.may_have_run = true;
+        if (o.ending == Ending::timed_out || o.ending == Ending::broken) rests_[k.doc.key] = now_ + set_.order_rest;
+        if (o.wait > 0) waits_[owner_[o.endpoint]] = std::max(waits_[owner_[o.endpoint]], now_ + o.wait);
+        decision_->outcome(o);
+      }
+      turn_end();
+    }
+  }
+
+  void expect(const std::vector<std::string>& plain, const Words& words, const std::string& text) {
+    const std::string& what = plain.at(0);
+    Millis from = number(words, "from", 0), to = number(words, "to", 1e18);
+    double count = 0;
+    auto within = [&](Millis at) { return at >= from && at <= to; };
+    auto ends = [&](const std::map<DocId, Millis>& of) {
+      for (auto& [id, when] : of) count += within(when) && (plain.size() < 2 || DocId(tag(plain[1])) == id);
+    };
+    if (what == "sends" || what == "calls") {
+      std::set<std::pair<Millis, EndpointId>> calls;
+      for (const auto& s : sent_)
+        if (within(s.at) && (!words.count("doc") || DocId(number(words, "doc", 0)) == s.doc) &&
+            (!words.count("try") || int(number(words, "try", 0)) == s.transmission + 1) &&
+            (!words.count("endpoint") || EndpointId(tag(words.at("endpoint"))) == s.endpoint))
+          ++count, calls.emplace(s.at, s.endpoint);
+      if (what == "calls") count = double(calls.size());
+    } else if (what == "answered") ends(answered_);
+    else if (what == "rejected") ends(rejected_);
+    else if (what == "abandoned") ends(abandoned_);
+    else if (what == "log") {
+      std::string wanted = text.substr(text.find(" log ") + 5);
+      for (const auto& line : logs_) count += line.find(wanted) != std::string::npos;
+      EXPECT_GT(count, 0) << text;
+      return;
+    } else FAIL() << "unknown expectation: " << text;
+    EXPECT_GE(count, number(words, "least", words.count("most") ? 0 : 1)) << text;
+    EXPECT_LE(count, number(words, "most", 1e9)) << text;
+  }
+
+  Settings set_;
+  std::uint64_t seed_ = 7;
+  std::unique_ptr<Decision> decision_;
+  Millis now_ = 0, wake_ = 1e18, stalled_until_ = 0;
+  bool open_ = false;
+  std::map<EndpointId, Manner> manners_;
+  std::map<EndpointId, Millis> told_off_;
+  std::map<EndpointId, std::uint64_t> owner_;
+  std::map<EndpointId, int> counts_;
+  std::set<std::pair<Millis, EndpointId>> bundled_;
+  std::map<std::uint64_t, Millis> waits_;
+  std::map<KeyId, Millis> rests_;
+  std::map<DocId, Known> known_;
+  std::vector<DocId> order_;
+  std::multimap<Millis, Outcome> pending_;
+  std::vector<Sent> sent_;
+  std::map<DocId, Millis> answered_, rejected_, abandoned_;
+  std::vector<std::string> logs_;
+};
+
+class Scenario : public testing::TestWithParam<std::filesystem::path> {};
+
+TEST_P(Scenario, Plays) {
+  std::ifstream in(GetParam());
+  if (GetParam().extension() == ".wire") {
+    std::string text, wanted, line;
+    auto play = [&] {
+      if (wanted.empty()) return;
+      std::istringstream input(text);
+      std::ostringstream output;
+      wire::Host host(input, output);
+      std::string got = "none";
+      try {
+        host.run();
+      } catch (const wire::Fault& fault) {
+        got = "line " + std::to_string(host.line_number()) + ": " + fault.what();
+      }
+      EXPECT_EQ(got.substr(0, wanted.size()), wanted) << text;
+    };
+    while (std::getline(in, line)) {
+      if (line.rfind("== ", 0) == 0) play(), wanted = line.substr(3), text.clear();
+      else text += line + "\n";
+    }
+    return play();
+  }
+  Play play;
+  for (std::string line; std::getline(in, line);) play.line(line);
+}
+
+std::vector<std::filesystem::path> scenarios() {
+  std::vector<std::filesystem::path> found;
+  for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS))
+    if (entry.path().extension() == ".scene" || entry.path().extension() == ".wire") found.push_back(entry.path());
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Scenario, testing::ValuesIn(scenarios()),
+                         [](const auto& info) { return info.param.stem().string(); });
+
+}  // namespace
+}  // namespace rockcrank
