--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -79,7 +79,7 @@
   Endpoint* endpoint = nullptr;
   Millis sent = 0;
   int docs = 0;
-  bool counted = false;
+  bool counted = false, overdue = false;
 };
 
 struct Doc {
@@ -229,6 +229,8 @@
   Decided decide() {
     for (bool fired = true; fired;) {
       fired = false;
+      for (auto& [number, call] : calls_)
+        if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) count_overdue(call);
       for (const RouteRule& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
@@ -261,7 +263,7 @@
   };
   using Grade = std::tuple<int, double, std::uint64_t>;
 
-  static constexpr Millis stall = 1000;
+  static constexpr Millis stall = 1000, longest_span = 2500;
   static constexpr double share_slack = 1.3;
   static constexpr int follow_calls = 3;
 
@@ -290,6 +292,8 @@
     if (got.ending == Ending::answered) {
       route.took.add(now_, got.took);
       route.timed.add(now_, 1);
+      took_.add(now_, got.took);
+      timed_.add(now_, 1);
       route.good.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
       endpoint.failures_in_row = 0;
@@ -309,8 +313,7 @@
         route.own_pace = std::max(least, 0.8 * route.recent.per_second(now_));
         route.paced_at = now_;
       }
-      if (got.wait > 0) return;
-    } else {
+    } else if (!call.overdue) {
       route.bad.add(now_, 1);
       ++endpoint.failures_in_row;
       if (endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + trial_pause * drawn(0.8, 1.2) * 2;
@@ -320,7 +323,26 @@
       route.failing_since = now_;
       if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
     }
-    if (stale) return;
+    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says that all is shut.
+    bool shut = got.wait <= 0 && now_ - route.failing_since > longest_span;
+    if (stale || (got.ending == Ending::refused && route.mode == Mode::closed && !shut)) return;
+    if (!call.overdue) ++route.failures_in_row;
+    if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
+  }
+
+  // A call out far longer than usual counts as failed at that moment: a hung destination is known before its calls
+  // time out, and binding documents, which have no time-out of their own, do not fill the slots behind it.
+  void count_overdue(Call& call) {
+    Route& route = *call.route;
+    call.overdue = true;
+    route.bad.add(now_, 1);
+    ++call.endpoint->failures_in_row;
+    if (call.endpoint->failures_in_row >= 2) call.endpoint->rests_until = now_ + 2 * trial_pause * drawn(0.8, 1.2);
+    if (route.failing_since >= never) {
+      route.failing_since = now_;
+      if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
+    }
+    if (call.sent < route.opened_at) return;
     ++route.failures_in_row;
     if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
   }
@@ -328,7 +350,7 @@
   void succeeded(Route& route) {
     double failing = route.bad.read(now_) / (route.bad.read(now_) + route.good.read(now_));
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
-    bool outage = route.mode != Mode::closed ? now_ - route.failing_since > 2500 || failing > 0.1 : failing > 0.35;
+    bool outage = now_ - route.failing_since > longest_span || failing > (route.mode == Mode::closed ? 0.35 : 0.1);
     if (route.failing_since < never && outage) {
       if (now_ > route.cold_since + set_.warm_within) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_;
@@ -404,10 +426,13 @@
     return sick(route) ? std::max(1, whole / 2) : whole;
   }
 
+  // The usual time of a call: the route's own, leaning on that of all routes while it has few.
   Millis usual(Route& route) {
-    double n = route.timed.read(now_);
-    return n > 0.01 ? route.took.read(now_) / n : 0;
+    double n = timed_.read(now_);
+    double lean = n > 0.01 ? took_.read(now_) / n : 0;
+    return (route.took.read(now_) + 2 * lean) / (route.timed.read(now_) + 2);
   }
+  Millis overdue_after(Route& route) { return std::max(1000.0, 5 * usual(route)) * route.patience; }
 
   // Calls a second that this relay allows itself on a route; limits are shared with relays unseen.
   double pace(Route& route) {
@@ -422,7 +447,7 @@
     if (age < set_.warm_within) {
       double full = std::max(route.rate_before, route.limit * part);
       double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
-      rate = std::min(rate, std::max(0.4, full * ramp * (0.6 * set_.fall_multiple)));
+      rate = std::min(rate, std::max(0.4, full * ramp * std::min(1.3, 0.85 * set_.fall_multiple)));
     }
     return rate;
   }
@@ -516,7 +541,7 @@
     Route& route = *endpoint.route;
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
-      calls_[call_number_] = Call{&route, &endpoint, now_, 0, false};
+      calls_[call_number_] = Call{&route, &endpoint, now_};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1);
       route.recent.add(now_, 1);
@@ -534,6 +559,8 @@
 
   Millis next_due() {
     Millis due = never;
+    for (auto& [number, call] : calls_)
+      if (!call.overdue) due = std::min(due, std::max(now_, call.sent + overdue_after(*call.route)));
     for (auto& [id, doc] : docs_) {
       due = std::min(due, doc.expiry - margin());
       if (doc.out > 0) continue;
@@ -570,6 +597,7 @@
   Millis now_ = 0, due_ = 0;
   std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
   int calls_out_ = 0;
+  Fading took_{20000}, timed_{20000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, std::vector<Endpoint*>> ranking_;
