Pace each relay at its own part of a known limit, more only on fresh hints of room

Guards also against a clump at one relay; it costs where the traffic is spread unevenly over the relays and no hints tell of room.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -438,9 +438,9 @@
   double pace(Route& route) {
     double rate = never, part = 1.0 / set_.relays;
     if (route.limit > 0) {
-      rate = route.limit;
-      if (route.hinted_at > now_ - 1500 && route.left_share < 0.5)
-        rate *= part + (1 - part) * std::max(0.0, route.left_share) * 2;
+      // The relay's own part of the limit; more only while fresh hints say that the others leave room.
+      double spare = now_ < route.hinted_at + 1500 ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
+      rate = route.limit * (part + (1 - part) * spare);
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 8000));
     Millis age = now_ - route.cold_since;
