--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -56,7 +56,7 @@
   double limit = 0, left_share = 1;  // calls a second from all relays, listed or told; 0: not known
   Millis hinted_at = -never, told_until = -never;
   Mode mode = Mode::closed;
-  int failures_in_row = 0, follow_left = 0, calls_out = 0;
+  int failures_in_row = 0, refused_in_row = 0, follow_left = 0, calls_out = 0;
   Millis opened_at = -never, trial_at = 0, failing_since = never, cold_since = -never;
   double rate_before = 0, own_pace = 0, patience = 1;
   Millis paced_at = -never, next_call = 0;
@@ -308,9 +308,10 @@
       return;
     }
     if (got.ending == Ending::refused) {
+      ++route.refused_in_row;
       if (now_ > route.paced_at + 300) {
-        double least = route.limit > 0 ? 0.6 * route.limit / set_.relays : 0.5;
-        route.own_pace = std::max(least, 0.8 * route.recent.per_second(now_));
+        double least = route.limit > 0 ? 0.3 * route.limit / set_.relays : 0.3;
+        route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_;
       }
     } else if (!call.overdue) {
@@ -350,7 +351,9 @@
   void succeeded(Route& route) {
     double failing = route.bad.read(now_) / (route.bad.read(now_) + route.good.read(now_));
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
-    bool outage = now_ - route.failing_since > longest_span || failing > (route.mode == Mode::closed ? 0.35 : 0.1);
+    bool shut = now_ - route.failing_since > longest_span && route.refused_in_row >= failures_to_open;
+    bool outage = shut || failing > (route.mode == Mode::closed ? 0.35 : 0.1);
+    route.refused_in_row = 0;
     if (route.failing_since < never && outage) {
       if (now_ > route.cold_since + set_.warm_within) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_;
@@ -440,9 +443,10 @@
     if (route.limit > 0) {
       // The relay's own part of the limit; more only while fresh hints say that the others leave room.
       double spare = now_ < route.hinted_at + 1500 ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
-      rate = route.limit * (part + (1 - part) * spare);
+      double held = now_ < route.hinted_at + 1500 ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
+      rate = route.limit * (part * held + (1 - part) * spare);
     }
-    if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 8000));
+    if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
     Millis age = now_ - route.cold_since;
     if (age < set_.warm_within) {
       double full = std::max(route.rate_before, route.limit * part);
