Treat a told wait longer than a limit's span as an outage, cold from its end

Guards also against long limits' spans; it costs where a long wait is not an outage, as the return is then slower than need be.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -191,7 +191,7 @@
       if (unknown) lane.rests_until = std::max(lane.rests_until, now_ + set_.order_rest);
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
-    if (got.wait > 0) call.route->told_until = std::max(call.route->told_until, now_ + got.wait);
+    if (got.wait > 0) told_wait(*call.route, now_ + got.wait);
     if (!call.counted && got.ending != Ending::not_sent && got.ending != Ending::called_off) count(call, got);
     call.counted = true;
     if (--call.docs == 0) {
@@ -348,6 +348,17 @@
     if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
   }
 
+  // A hold longer than any limit's span is an outage: what it kept back must not burst out at its end.
+  void told_wait(Route& route, Millis until) {
+    route.told_until = std::max(route.told_until, until);
+    if (route.told_until - std::min(now_, route.failing_since) <= longest_span) return;
+    if (now_ > route.cold_since + set_.warm_within) {
+      if (route.failing_since >= never) route.rate_before = route.calls.per_second(now_);
+      log(route, "shut, cold after", route.told_until - now_, route.rate_before);
+    }
+    route.cold_since = std::max(route.cold_since, route.told_until);
+  }
+
   void succeeded(Route& route) {
     double failing = route.bad.read(now_) / (route.bad.read(now_) + route.good.read(now_));
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
@@ -447,7 +458,7 @@
       rate = route.limit * (part * held + (1 - part) * spare);
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
-    Millis age = now_ - route.cold_since;
+    Millis age = std::max(0.0, now_ - route.cold_since);
     if (age < set_.warm_within) {
       double full = std::max(route.rate_before, route.limit * part);
       double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
