Call off the call furthest overdue while a document waits for a slot only

Guards also against very slow destinations; it harms where all destinations slow down together far beyond what was usual, as a binding document is lost with its call.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -153,8 +153,7 @@
   settings.slots = pairs.count("specifics.slots", 1);
   settings.room = pairs.count("limits.openCap");
   settings.max_transmissions = pairs.count("limits.maxAttempts", 1);
-  settings.second_copies = pairs.flag("limits.mayDuplicate");
-  settings.probes = pairs.flag("limits.probes");
+  settings.may_call_off = pairs.flag("limits.cancel");
   settings.value_halves = pairs.text("specifics.decay") == "halving";
   auto weights = pairs.text("weightKind");
   settings.limits_listed = weights == "nominal" || weights == "rough";
@@ -285,11 +284,10 @@
     fields.integer_or("marks", 0, id_end, 0);
     guarded(instance, [&](Decision& d) { d.take(doc); });
   } else if (name == "health") {
-    bool answered = one_of(endings, fields.word("ending"), "ending") == Ending::answered;
+    one_of(endings, fields.word("ending"), "ending");
     fields.integer("delaySeenUs", 0, exact_end);
-    auto endpoint = endpoint_id(fields.word("endpoint"));
-    auto hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"));
-    guarded(instance, [&](Decision& d) { d.probed(endpoint, answered, hints); });
+    endpoint_id(fields.word("endpoint"));
+    if (!fields.at_end()) hints_of(fields.word("healthInfo"));
   } else if (name == "opened") {
     fields.integer("opId", 0, id_end - 1);
     fields.integer("trial", 0, id_end);
@@ -424,8 +422,8 @@
     out_ << "hand_off " << number << ' ' << static_cast<std::uint64_t>(sent.doc) << ' '
          << static_cast<std::int64_t>(std::floor(sent.time_out * 1000.0)) << ' '
          << addresses_.at(static_cast<std::uint64_t>(sent.endpoint)) << '\n';
-  for (EndpointId endpoint : decided.probes)
-    out_ << "ping " << number << ' ' << addresses_.at(static_cast<std::uint64_t>(endpoint)) << '\n';
+  for (const auto& call : decided.called_off)
+    out_ << "drop_attempt " << number << ' ' << static_cast<std::uint64_t>(call.doc) << ' ' << call.transmission << '\n';
   if (decided.wake_in < 0) return;
   auto in = std::min(longest_timer, std::max<std::int64_t>(1, std::ceil(decided.wake_in * 1000.0)));
   if (instance.wake_at >= 0 && instance.wake_at <= clock + in) return;  // a timer that fires sooner is set
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -1,5 +1,5 @@
 // All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin, list,
-// take, outcome, probed, withdraw) and calls decide(), which goes through the ordered rules at the end of this
+// take, outcome, withdraw) and calls decide(), which goes through the ordered rules at the end of this
 // file until none fires and answers what to send, reject or abandon, and when to be called again at the latest.
 // docs/design.md says which parts are the design's and under which condition each departure acts.
 #include "decision/decision.h"
@@ -79,7 +79,7 @@
   Endpoint* endpoint = nullptr;
   Millis sent = 0;
   int docs = 0;
-  bool counted = false, overdue = false;
+  bool counted = false, overdue = false, called_off = false;
 };
 
 struct Doc {
@@ -198,6 +198,7 @@
       --call.route->calls_out;
       --call.endpoint->calls_out;
       --calls_out_;
+      freed_ -= call.called_off;
     }
     auto holder = docs_.find(got.doc);
     if (holder != docs_.end()) {
@@ -219,8 +220,6 @@
     if (call.docs == 0) calls_.erase(call_number);
   }
 
-  void probed(EndpointId, bool, const Hints&) {}
-
   void withdraw(DocId id) {
     auto found = docs_.find(id);
     if (found != docs_.end()) close(found->second);
@@ -229,8 +228,13 @@
   Decided decide() {
     for (bool fired = true; fired;) {
       fired = false;
+      // A call out far longer than usual counts as failed at that moment: a hung destination is known before its
+      // calls time out, and binding documents, which have no time-out of their own, do not fill the slots behind it.
       for (auto& [number, call] : calls_)
-        if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) count_overdue(call);
+        if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) {
+          call.overdue = true;
+          failed(call, false, false);
+        }
       for (const RouteRule& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
@@ -314,36 +318,26 @@
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_;
       }
-    } else if (!call.overdue) {
-      route.bad.add(now_, 1);
-      ++endpoint.failures_in_row;
-      if (endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + trial_pause * drawn(0.8, 1.2) * 2;
-      if (got.ending == Ending::timed_out) route.patience = std::min(6.0, route.patience * 1.5);
+    } else if (got.ending == Ending::timed_out) {
+      route.patience = std::min(6.0, route.patience * 1.5);
     }
-    if (route.failing_since >= never) {
-      route.failing_since = now_;
-      if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
-    }
-    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says that all is shut.
-    bool shut = got.wait <= 0 && now_ - route.failing_since > longest_span;
-    if (stale || (got.ending == Ending::refused && route.mode == Mode::closed && !shut)) return;
-    if (!call.overdue) ++route.failures_in_row;
-    if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
+    if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
-  // A call out far longer than usual counts as failed at that moment: a hung destination is known before its calls
-  // time out, and binding documents, which have no time-out of their own, do not fill the slots behind it.
-  void count_overdue(Call& call) {
+  void failed(Call& call, bool refused, bool waits) {
     Route& route = *call.route;
-    call.overdue = true;
-    route.bad.add(now_, 1);
-    ++call.endpoint->failures_in_row;
-    if (call.endpoint->failures_in_row >= 2) call.endpoint->rests_until = now_ + 2 * trial_pause * drawn(0.8, 1.2);
+    Endpoint& endpoint = *call.endpoint;
+    if (!refused) {
+      route.bad.add(now_, 1);
+      if (++endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + 2 * trial_pause * drawn(0.8, 1.2);
+    }
     if (route.failing_since >= never) {
       route.failing_since = now_;
       if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
     }
-    if (call.sent < route.opened_at) return;
+    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says that all is shut.
+    bool shut = !waits && now_ - route.failing_since > longest_span;
+    if (call.sent < route.opened_at || (refused && route.mode == Mode::closed && !shut)) return;
     ++route.failures_in_row;
     if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
   }
@@ -473,7 +467,7 @@
     if (route.mode == Mode::open) return route.trial_at;
     if (route.mode == Mode::trial && route.calls_out > 0) return never;
     if (route.mode == Mode::following && route.calls_out >= 2) return never;
-    if (route.calls_out >= cap(route) || calls_out_ >= set_.slots) return never;
+    if (route.calls_out >= cap(route)) return never;
     Millis ahead = now_ < route.cold_since + set_.warm_within ? 0 : 300;
     return route.next_call <= now_ + ahead ? now_ : route.next_call - ahead;
   }
@@ -485,7 +479,7 @@
   }
 
   // First in rank until it has enough, then the next; failing ones rest while another can take the document.
-  Endpoint* choose(const Doc& doc) {
+  Endpoint* choose(const Doc& doc, int slots) {
     Endpoint* best = nullptr;
     auto burden = [&](const Endpoint& e) {
       return std::tuple(!joins(e), now_ < e.rests_until, e.failures_in_row > 0, e.calls_out);
@@ -493,7 +487,7 @@
     for (Endpoint* e : ranking_[doc.destination]) {
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
       if (!joins(*e)) {
-        if (free_at(*e->route) > now_) continue;
+        if (calls_out_ >= slots || free_at(*e->route) > now_) continue;
         if (e->room > 0 && now_ < e->room_met_at + 5000 && e->calls_out >= e->room) continue;
       }
       if (!best || burden(*e) < burden(*best)) best = e;
@@ -549,10 +543,10 @@
   }
 
   bool can_go(Doc& doc) {
-    return doc.out == 0 && now_ >= doc.not_before && in_turn(doc) && choose(doc) != nullptr;
+    return doc.out == 0 && now_ >= doc.not_before && in_turn(doc) && choose(doc, set_.slots) != nullptr;
   }
   void transmit(Doc& doc) {
-    Endpoint& endpoint = *choose(doc);
+    Endpoint& endpoint = *choose(doc, set_.slots);
     Route& route = *endpoint.route;
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
@@ -572,6 +566,32 @@
     ++doc.tries, ++doc.out;
   }
 
+  // Slots taken by calls far overdue, over several hung destinations at once, starve the healthy ones. While a
+  // document waits for a slot only, the call furthest overdue is called off; a binding document is lost with it.
+  bool wants_slot(Doc& doc) {
+    if (!set_.may_call_off || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
+    return doc.out == 0 && now_ >= doc.not_before && std::get<0>(urgency(doc)) < 2 && in_turn(doc) &&
+           choose(doc, set_.slots + 1) != nullptr && furthest_overdue() != nullptr;
+  }
+  Call* furthest_overdue() {
+    Call* worst = nullptr;
+    double most = 2;
+    for (auto& [number, call] : calls_) {
+      double by = (now_ - call.sent) / overdue_after(*call.route);
+      if (!call.called_off && by > most) worst = &call, most = by;
+    }
+    return worst;
+  }
+  void call_off(Doc& doc) {
+    Call* call = furthest_overdue();
+    call->called_off = true;
+    ++freed_;
+    doc.not_before = now_ + set_.tick;
+    for (auto& [transmission, entry] : out_)
+      if (&calls_[std::get<0>(entry)] == call) done_.called_off.push_back({transmission.first, transmission.second});
+    log(*call->route, "called off for want of a slot", now_ - call->sent, calls_out_);
+  }
+
   Millis next_due() {
     Millis due = never;
     for (auto& [number, call] : calls_)
@@ -605,13 +625,14 @@
       {"transmissions spent", &Relay::is_spent, &Relay::end},
       {"a full room", &Relay::crowds_out, &Relay::end},
       {"may go", &Relay::can_go, &Relay::transmit},
+      {"wants a slot", &Relay::wants_slot, &Relay::call_off},
   };
 
   const Settings set_;
   std::minstd_rand chance_;
   Millis now_ = 0, due_ = 0;
   std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
-  int calls_out_ = 0;
+  int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Fading took_{20000}, timed_{20000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
@@ -634,7 +655,6 @@
 void Decision::list(const std::vector<EndpointEntry>& entries, bool whole) { relay_->list(entries, whole); }
 void Decision::take(const Document& document) { relay_->take(document); }
 void Decision::outcome(const Outcome& outcome) { relay_->outcome(outcome); }
-void Decision::probed(EndpointId endpoint, bool ok, const Hints& hints) { relay_->probed(endpoint, ok, hints); }
 void Decision::withdraw(DocId doc) { relay_->withdraw(doc); }
 Decided Decision::decide() { return relay_->decide(); }
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -46,8 +46,7 @@
   int slots = 1;
   int room = 0;  // documents held at once; 0: not limited
   int max_transmissions = 1;
-  bool second_copies = false;
-  bool probes = false;
+  bool may_call_off = false;
   bool value_halves = false;  // each further agreed time; else evenly down to the expiry
   bool limits_listed = false;
   Millis tick = 0;
@@ -110,6 +109,11 @@
   Millis time_out = 0;
 };
 
+struct CallOff {
+  DocId doc{};
+  int transmission = 0;
+};
+
 struct Reject {
   DocId doc{};
   Millis wait = 0;
@@ -119,7 +123,7 @@
   std::vector<Reject> rejected;
   std::vector<DocId> abandoned;
   std::vector<Transmit> transmitted;
-  std::vector<EndpointId> probes;
+  std::vector<CallOff> called_off;
   std::vector<std::string> log;
   Millis wake_in = -1;  // negative: only when something happens
 };
@@ -135,7 +139,6 @@
   void list(const std::vector<EndpointEntry>& entries, bool whole);
   void take(const Document& document);
   void outcome(const Outcome& outcome);
-  void probed(EndpointId endpoint, bool answered, const Hints& hints);
   void withdraw(DocId doc);
   Decided decide();
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -76,7 +76,7 @@
     set_.start_capacity = number(w, "start", 0.2), set_.warm_within = number(w, "warm", 10000);
     set_.order_rest = number(w, "rest", 0), set_.value_halves = number(w, "halves", 1) > 0;
     set_.limits_listed = number(w, "listed", 0) > 0, seed_ = std::uint64_t(number(w, "seed", 7));
-    set_.reject_wait_max = 3000;
+    set_.reject_wait_max = 3000, set_.may_call_off = true;
   }
   void type(const Words& w) {
     DocType t;
@@ -142,6 +142,15 @@
     for (const auto& text : done.log) logs_.push_back(text);
     for (const auto& r : done.rejected) final_answer(r.doc, true);
     for (DocId d : done.abandoned) final_answer(d, false);
+    for (const auto& c : done.called_off)
+      for (auto at = pending_.begin(); at != pending_.end(); ++at)
+        if (at->second.doc == c.doc && at->second.transmission == c.transmission) {
+          Outcome o = at->second;
+          o.ending = Ending::called_off, o.over = false, o.wait = 0;
+          pending_.erase(at);
+          pending_.emplace(now_ + set_.tick, o);
+          break;
+        }
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
   }
@@ -151,8 +160,9 @@
     EXPECT_FALSE(k.ended) << "rule 1: a second final answer for " << std::uint64_t(id);
     EXPECT_LE(now_, k.expiry) << "rule 1: a late final answer for " << std::uint64_t(id);
     auto& t = set_.doc_types.at(std::size_t(k.doc.type));
-    if (rejected && t.repeat == Repeat::binding)
+    if (rejected && t.repeat == Repeat::binding) {
       EXPECT_TRUE(!k.may_have_run && k.out == 0) << "rule 2: rejected, yet it may have run";
+    }
     k.ended = true;
     (rejected ? rejected_ : abandoned_)[id] = now_;
   }
@@ -165,7 +175,9 @@
     EXPECT_GE(now_, waits_[owner_[t.endpoint]]) << "rule 6: sent inside a told wait at " << now_;
     if (k.may_have_run || k.out > 0) {
       EXPECT_NE(type.repeat, Repeat::binding) << "rule 2: a binding document went again";
-      if (type.repeat == Repeat::numbered) EXPECT_LT(now_, k.first_send + type.key_window) << "rule 2: past the window";
+      if (type.repeat == Repeat::numbered) {
+        EXPECT_LT(now_, k.first_send + type.key_window) << "rule 2: past the window";
+      }
     }
     if (type.in_order && k.doc.has_key)
       for (DocId other : order_) {
@@ -173,7 +185,9 @@
         auto o = known_.find(other);
         if (o == known_.end() || !o->second.doc.has_key || o->second.doc.key != k.doc.key) continue;
         EXPECT_TRUE(o->second.ended && o->second.out == 0) << "rule 5: out of order";
-        if (k.tries == 0) EXPECT_GE(now_, rests_[k.doc.key]) << "rule 5: the key had to rest";
+        if (k.tries == 0) {
+          EXPECT_GE(now_, rests_[k.doc.key]) << "rule 5: the key had to rest";
+        }
       }
     if (!k.may_have_run && k.out == 0) k.first_send = now_;
     sent_.push_back({now_, t.doc, t.endpoint, k.tries});
