Call off calls once overdue unless late answers still come; fullest bundles first when slots are short

Changes: while slots are short the fullest bundles go first; an overdue call is called off at once unless late answers say that destinations are slow; a return is cold only after most calls failed.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -60,7 +60,7 @@
   Millis opened_at = -never, trial_at = 0, failing_since = never, cold_since = -never;
   double rate_before = 0, own_pace = 0, patience = 1;
   Millis paced_at = -never, next_call = 0;
-  Fading calls{8000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{20000}, timed{20000};
+  Fading calls{8000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{8000}, timed{8000};
 };
 
 struct Endpoint {
@@ -238,6 +238,9 @@
       for (const RouteRule& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
+      short_ = calls_out_ >= 0.8 * set_.slots;
+      ready_.clear();
+      for (auto& [id, doc] : docs_) ready_[doc.destination] += doc.out == 0 && now_ >= doc.not_before;
       waiting_.clear();
       for (auto& [id, doc] : docs_) waiting_.push_back({urgency(doc), &doc});
       std::sort(waiting_.begin(), waiting_.end());
@@ -299,6 +302,7 @@
       took_.add(now_, got.took);
       timed_.add(now_, 1);
       route.good.add(now_, 1);
+      if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
       endpoint.failures_in_row = 0;
       endpoint.answered_at = now_;
@@ -354,10 +358,10 @@
   }
 
   void succeeded(Route& route) {
-    double failing = route.bad.read(now_) / (route.bad.read(now_) + route.good.read(now_));
+    double failing = route.bad.read(now_) / std::max(1e-3, route.bad.read(now_) + route.good.read(now_) - 1);
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
     bool shut = now_ - route.failing_since > longest_span && route.refused_in_row >= failures_to_open;
-    bool outage = shut || failing > (route.mode == Mode::closed ? 0.35 : 0.1);
+    bool outage = shut || failing > (route.mode == Mode::closed ? 0.5 : 0.1);
     route.refused_in_row = 0;
     if (route.failing_since < never && outage) {
       if (now_ > route.cold_since + set_.warm_within) log(route, "cold return", route.rate_before, failing);
@@ -508,7 +512,12 @@
     auto ranked = ranking_.find(doc.destination);
     if (ranked != ranking_.end() && !ranked->second.empty()) lead = usual(*ranked->second.front()->route);
     if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
-    if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
+    // While slots are short, the calls that deliver most go first: the fullest bundles.
+    if (now_ + lead <= doc.agreed_by) {
+      if (!short_) return {0, doc.agreed_by, doc.turn_taken};
+      Route& route = *ranked->second.front()->route;
+      return {0, -std::min(ready_[doc.destination], route.bundle_max), doc.turn_taken};
+    }
     double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
     if (set_.value_halves && std::exp2(-late) <= doc.type->late_value) return {2, doc.expiry, doc.turn_taken};
     return {1, -doc.agreed_by, doc.turn_taken};
@@ -575,7 +584,7 @@
   }
   Call* furthest_overdue() {
     Call* worst = nullptr;
-    double most = 2;
+    double most = late_.read(now_) > 0.5 ? 3 : 1;  // answers that come late all the same: slow, not hung
     for (auto& [number, call] : calls_) {
       double by = (now_ - call.sent) / overdue_after(*call.route);
       if (!call.called_off && by > most) worst = &call, most = by;
@@ -633,7 +642,7 @@
   Millis now_ = 0, due_ = 0;
   std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
-  Fading took_{20000}, timed_{20000};
+  Fading took_{8000}, timed_{8000}, late_{5000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, std::vector<Endpoint*>> ranking_;
@@ -644,6 +653,8 @@
   std::map<EndpointId, std::uint64_t> bundles_;  // the call opened this turn, by endpoint
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
+  std::map<DestinationId, int> ready_;  // documents that could go now
+  bool short_ = false;                  // of slots
   Decided done_;
 };
 
