--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -211,10 +211,10 @@
       } else if (got.ending == Ending::not_sent) {
         doc.not_before = now_ + set_.tick;
       } else {
-        // The ladder: base x 2^(try-1), varied; after a told wait the wait itself rules.
-        ++doc.failures;
+        // The ladder: base x 2^(try-1), varied. A told wait takes its place, as it holds the whole route to its end.
+        if (got.wait <= 0) ++doc.failures;
         Millis pause = ladder_base * std::exp2(std::min(doc.failures, 16) - 1);
-        doc.not_before = now_ + pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
+        doc.not_before = got.wait > 0 ? now_ : now_ + pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
       }
     }
     if (call.docs == 0) calls_.erase(call_number);
