Close idle connections before use once idle ones break at several destinations

Guards also against partners that close kept connections early; it harms where breaks at two destinations in a row only looked so, by handshakes for some 20 s.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -418,6 +418,8 @@
          << static_cast<std::int64_t>(std::ceil(reject.wait * 1000.0)) << '\n';
   for (DocId doc : decided.abandoned)
     out_ << "drop_request " << number << ' ' << static_cast<std::uint64_t>(doc) << '\n';
+  for (EndpointId endpoint : decided.closed)
+    out_ << "close " << number << ' ' << addresses_.at(static_cast<std::uint64_t>(endpoint)) << '\n';
   for (const auto& sent : decided.transmitted)
     out_ << "hand_off " << number << ' ' << static_cast<std::uint64_t>(sent.doc) << ' '
          << static_cast<std::int64_t>(std::floor(sent.time_out * 1000.0)) << ' '
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -71,7 +71,7 @@
   Route* route = nullptr;
   std::uint64_t rank = 0;
   int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, once met; 0: not met
-  Millis rests_until = -never, answered_at = -never, room_met_at = -never;
+  Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never;
 };
 
 struct Call {
@@ -79,6 +79,7 @@
   Endpoint* endpoint = nullptr;
   Millis sent = 0;
   int docs = 0;
+  Millis idle = 0;  // how long the endpoint had had no call before this one
   bool counted = false, overdue = false, called_off = false;
 };
 
@@ -196,7 +197,7 @@
     call.counted = true;
     if (--call.docs == 0) {
       --call.route->calls_out;
-      --call.endpoint->calls_out;
+      if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_;
       --calls_out_;
       freed_ -= call.called_off;
     }
@@ -325,9 +326,19 @@
     } else if (got.ending == Ending::timed_out) {
       route.patience = std::min(6.0, route.patience * 1.5);
     }
+    if (got.ending == Ending::broken && call.idle > 500 && &route != idle_broken_) broke_idle(call);
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
+  // Calls that break at one destination after another, each on a connection that had lain idle: something on the way
+  // drops idle connections early. For a while they are closed before use instead; a new one costs a handshake.
+  void broke_idle(const Call& call) {
+    idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * call.idle);
+    idle_breaks_.add(now_, 1);
+    idle_broken_ = call.route;
+    log(*call.route, "idle connection broke", call.idle, idle_breaks_.read(now_));
+  }
+
   void failed(Call& call, bool refused, bool waits) {
     Route& route = *call.route;
     Endpoint& endpoint = *call.endpoint;
@@ -559,7 +570,12 @@
     Route& route = *endpoint.route;
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
-      calls_[call_number_] = Call{&route, &endpoint, now_};
+      Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
+      if (idle_breaks_.read(now_) > 1.5 && idle > idle_limit_) {
+        done_.closed.push_back(endpoint.id);
+        idle = 0;
+      }
+      calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1);
       route.recent.add(now_, 1);
@@ -656,6 +672,9 @@
   std::map<DestinationId, int> ready_;  // documents that could go now
   bool short_ = false;                  // of slots
   Decided done_;
+  Fading idle_breaks_{20000};
+  Millis idle_limit_ = never;
+  const Route* idle_broken_ = nullptr;
 };
 
 Decision::Decision(const Settings& settings, std::uint64_t seed) : relay_(std::make_unique<Relay>(settings, seed)) {}
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -123,6 +123,7 @@
   std::vector<Reject> rejected;
   std::vector<DocId> abandoned;
   std::vector<Transmit> transmitted;
+  std::vector<EndpointId> closed;  // idle connections, before any transmission of this turn
   std::vector<CallOff> called_off;
   std::vector<std::string> log;
   Millis wake_in = -1;  // negative: only when something happens
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -53,7 +53,7 @@
  private:
   struct Manner {
     std::string ending = "answered";
-    double after = 100, wait = 0, every = 1, share = 0, limit = 0;
+    double after = 100, wait = 0, every = 1, share = 0, limit = 0, idle = 0;
   };
   struct Sent {
     Millis at;
@@ -123,7 +123,8 @@
       }
     } else if (verb == "endpoint") {
       manners_[EndpointId(tag(plain.at(1)))] = {plain.at(2), number(words, "after", 100), number(words, "wait", 0),
-                                                number(words, "every", 1), number(words, "share", 1), number(words, "limit", 0)};
+                                                number(words, "every", 1), number(words, "share", 1), number(words, "limit", 0),
+                                                number(words, "idle", 0)};
     } else if (verb == "stall") {
       stalled_until_ = now_ + number(words, "for", 0);
     } else if (verb == "restart") {
@@ -151,6 +152,7 @@
           pending_.emplace(now_ + set_.tick, o);
           break;
         }
+    for (EndpointId e : done.closed) used_.erase(e);
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
   }
@@ -195,6 +197,8 @@
     auto bundle = std::make_pair(now_, t.endpoint);
     if (m.every > 1 && !bundled_.count(bundle) && ++counts_[t.endpoint] % int(m.every) != 0) m.ending = "answered";
     bundled_.insert(bundle);
+    if (m.idle > 0 && used_.count(t.endpoint) && now_ > used_[t.endpoint] + m.idle) m.ending = "broken", m.after = 10;
+    used_[t.endpoint] = now_;
     bool late = m.ending == "silent" || (t.time_out > 0 && m.after >= t.time_out);
     Outcome o;
     o.doc = t.doc, o.transmission = k.tries++, o.endpoint = t.endpoint;
@@ -268,6 +272,7 @@
   std::map<EndpointId, Millis> told_off_;
   std::map<EndpointId, std::uint64_t> owner_;
   std::map<EndpointId, int> counts_;
+  std::map<EndpointId, Millis> used_;
   std::set<std::pair<Millis, EndpointId>> bundled_;
   std::map<std::uint64_t, Millis> waits_;
   std::map<KeyId, Millis> rests_;
