--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -571,7 +571,7 @@
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
-      if (idle_breaks_.read(now_) > 1.5 && idle > idle_limit_) {
+      if (idle_breaks_.read(now_) > 1.2 && idle > idle_limit_) {
         done_.closed.push_back(endpoint.id);
         idle = 0;
       }
@@ -672,7 +672,7 @@
   std::map<DestinationId, int> ready_;  // documents that could go now
   bool short_ = false;                  // of slots
   Decided done_;
-  Fading idle_breaks_{20000};
+  Fading idle_breaks_{30000};
   Millis idle_limit_ = never;
   const Route* idle_broken_ = nullptr;
 };
