--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -165,7 +165,10 @@
     doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
     doc.destination = given.destination;
     doc.expiry = now_ + given.left;
-    doc.agreed_by = doc.expiry - doc.type->lifetime + doc.type->agreed_time;
+    // A document handed in with less left than its agreed time is in a hurry, not late: its expiry is all that counts.
+    doc.agreed_by = given.left < doc.type->agreed_time
+                        ? doc.expiry - margin()
+                        : doc.expiry - doc.type->lifetime + doc.type->agreed_time;
     doc.turn_taken = ++taken_;
     doc.ordered = doc.type->in_order && given.has_key;
     doc.key = given.key;
@@ -193,7 +196,10 @@
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
     if (got.wait > 0) told_wait(*call.route, now_ + got.wait);
-    if (!call.counted && got.ending != Ending::not_sent && got.ending != Ending::called_off) count(call, got);
+    // A call cut short by its document's expiry says nothing of the destination.
+    bool cut_short = got.ending == Ending::timed_out && got.took < overdue_after(*call.route);
+    bool tells = got.ending != Ending::not_sent && got.ending != Ending::called_off && !cut_short;
+    if (!call.counted && tells) count(call, got);
     call.counted = true;
     if (--call.docs == 0) {
       --call.route->calls_out;
