--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -195,7 +195,7 @@
       if (unknown) lane.rests_until = std::max(lane.rests_until, now_ + set_.order_rest);
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
-    if (got.wait > 0) told_wait(*call.route, now_ + got.wait);
+    if (got.wait > 0) told_wait(*call.route, now_ + got.wait, spent(got.hints));
     // A call cut short by its document's expiry says nothing of the destination.
     bool cut_short = got.ending == Ending::timed_out && got.took < overdue_after(*call.route);
     bool tells = got.ending != Ending::not_sent && got.ending != Ending::called_off && !cut_short;
@@ -323,7 +323,7 @@
       return;
     }
     if (got.ending == Ending::refused) {
-      ++route.refused_in_row;
+      route.refused_in_row += !spent(got.hints);
       if (now_ > route.paced_at + 300) {
         double least = route.limit > 0 ? 0.3 * route.limit / set_.relays : 0.3;
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
@@ -333,6 +333,8 @@
       route.patience = std::min(6.0, route.patience * 1.5);
     }
     if (got.ending == Ending::broken && call.idle > 500 && &route != idle_broken_) broke_idle(call);
+    // A sunken limit refuses for seconds on end too, but then the hints say that nothing is left: no outage.
+    if (got.ending == Ending::refused && spent(got.hints)) return;
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
@@ -363,10 +365,12 @@
     if (route.mode == Mode::trial || route.mode == Mode::following) open(route);
   }
 
+  static bool spent(const Hints& hints) { return hints.told && hints.limit > 0 && hints.left_share < 0.1; }
+
   // A hold longer than any limit's span is an outage: what it kept back must not burst out at its end.
-  void told_wait(Route& route, Millis until) {
+  void told_wait(Route& route, Millis until, bool limit_met) {
     route.told_until = std::max(route.told_until, until);
-    if (route.told_until - std::min(now_, route.failing_since) <= longest_span) return;
+    if (limit_met || route.told_until - std::min(now_, route.failing_since) <= longest_span) return;
     if (now_ > route.cold_since + set_.warm_within) {
       if (route.failing_since >= never) route.rate_before = route.calls.per_second(now_);
       log(route, "shut, cold after", route.told_until - now_, route.rate_before);
