--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -566,9 +566,10 @@
     close(doc);
   }
 
-  // A full room turns away fresh documents at the door; the least urgent held one makes way.
+  // A full room turns away fresh documents at the door, as when a destination with much traffic is down for long. A tenth
+  // of it is kept free: documents that have lost all they can lose make way, those nearest to their expiry first.
   bool crowds_out(Doc& doc) {
-    return set_.room > 0 && static_cast<int>(docs_.size()) >= set_.room && doc.out == 0 && may_reject(doc) &&
+    return set_.room > 0 && static_cast<double>(docs_.size()) > 0.9 * set_.room && doc.out == 0 && may_reject(doc) &&
            std::get<0>(urgency(doc)) >= 2;
   }
 
