--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -592,7 +592,7 @@
       route.recent.add(now_, 1);
       route.next_call = std::max(now_, route.next_call) + 1000 / pace(route);
     } else if (now_ < route.cold_since + set_.warm_within) {
-      route.next_call += 250 / pace(route);
+      route.next_call += 120 / pace(route);
     }
     auto number = bundles_[endpoint.id];
     ++calls_[number].docs;
