Let a cold return go up to 1.6 of the relay's own part

Still under 0.85 of the allowed multiple. It could do harm where a listed rate is far too high and the multiple small.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -481,7 +481,7 @@
     if (age < set_.warm_within) {
       double full = std::max(route.rate_before, route.limit * part);
       double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
-      rate = std::min(rate, std::max(0.4, full * ramp * std::min(1.3, 0.85 * set_.fall_multiple)));
+      rate = std::min(rate, std::max(0.4, full * ramp * std::min(1.6, 0.85 * set_.fall_multiple)));
     }
     return rate;
   }
