--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -117,7 +117,7 @@
  public:
   Relay(const Settings& settings, std::uint64_t seed)
       : set_(settings), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
-    for (double rate : set_.tenant_rates) shares_.push_back({Fading(4000), rate / set_.relays});
+    for (double rate : set_.tenant_rates) shares_.push_back({Fading(10000), rate / set_.relays});
   }
 
   void begin(Millis now) {
@@ -659,8 +659,8 @@
   static constexpr DocRule doc_rules[] = {
       {"no time left", &Relay::out_of_time, &Relay::end},
       {"transmissions spent", &Relay::is_spent, &Relay::end},
-      {"a full room", &Relay::crowds_out, &Relay::end},
       {"may go", &Relay::can_go, &Relay::transmit},
+      {"a full room", &Relay::crowds_out, &Relay::end},
       {"wants a slot", &Relay::wants_slot, &Relay::call_off},
   };
 
