--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -246,8 +246,12 @@
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
       short_ = calls_out_ >= 0.8 * set_.slots;
-      ready_.clear();
-      for (auto& [id, doc] : docs_) ready_[doc.destination] += doc.out == 0 && now_ >= doc.not_before;
+      ready_.clear(), harmless_.clear();
+      for (auto& [id, doc] : docs_)
+        if (doc.out == 0 && now_ >= doc.not_before) {
+          ++ready_[doc.destination];
+          if (doc.type->repeat != Repeat::binding) ++harmless_[doc.destination];
+        }
       waiting_.clear();
       for (auto& [id, doc] : docs_) waiting_.push_back({urgency(doc), &doc});
       std::sort(waiting_.begin(), waiting_.end());
@@ -511,6 +515,9 @@
     };
     for (Endpoint* e : ranking_[doc.destination]) {
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
+      // A trial may end without an outcome: no binding document is risked while one that may go again waits there.
+      bool binding = doc.type->repeat == Repeat::binding;
+      if (binding && (e->route->mode != Mode::closed || sick(*e->route)) && harmless_[doc.destination] > 0) continue;
       if (!joins(*e)) {
         if (calls_out_ >= slots || free_at(*e->route) > now_) continue;
         if (e->room > 0 && now_ < e->room_met_at + 5000 && e->calls_out >= e->room) continue;
@@ -680,7 +687,7 @@
   std::map<EndpointId, std::uint64_t> bundles_;  // the call opened this turn, by endpoint
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
-  std::map<DestinationId, int> ready_;  // documents that could go now
+  std::map<DestinationId, int> ready_, harmless_;  // documents that could go now; those that may run again
   bool short_ = false;                  // of slots
   Decided done_;
   Fading idle_breaks_{30000};
