--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -196,6 +196,9 @@
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
     if (got.wait > 0) told_wait(*call.route, now_ + got.wait, spent(got.hints));
+    if ((got.ending == Ending::timed_out || got.ending == Ending::called_off) &&
+        got.took > 1.1 * overdue_after(*call.route) / call.route->patience)
+      hung_.add(now_, 1);
     // A call cut short by its document's expiry says nothing of the destination.
     bool cut_short = got.ending == Ending::timed_out && got.took < overdue_after(*call.route);
     bool tells = got.ending != Ending::not_sent && got.ending != Ending::called_off && !cut_short;
@@ -310,8 +313,8 @@
     if (got.ending == Ending::answered) {
       route.took.add(now_, got.took);
       route.timed.add(now_, 1);
-      took_.add(now_, got.took);
-      timed_.add(now_, 1);
+      for (Fading* sum : {&took_, &took_now_, &took_long_}) sum->add(now_, got.took);
+      for (Fading* sum : {&timed_, &timed_now_, &timed_long_}) sum->add(now_, 1);
       route.good.add(now_, 1);
       if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
@@ -616,11 +619,18 @@
     return doc.out == 0 && now_ >= doc.not_before && std::get<0>(urgency(doc)) < 2 && in_turn(doc) &&
            choose(doc, set_.slots + 1) != nullptr && furthest_overdue() != nullptr;
   }
+  // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only slow, and
+  // calling off would throw away work that the destinations go on with.
+  bool hanging() { return hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_) && !slower(); }
+  bool slower() {
+    double n = timed_now_.read(now_), before = timed_long_.read(now_);
+    return n > 2 && took_now_.read(now_) / n > 1.5 * took_long_.read(now_) / before;
+  }
   Call* furthest_overdue() {
     Call* worst = nullptr;
-    double most = late_.read(now_) > 0.5 ? 3 : 1;  // answers that come late all the same: slow, not hung
+    double most = hanging() ? 0.6 : 2.5;
     for (auto& [number, call] : calls_) {
-      double by = (now_ - call.sent) / overdue_after(*call.route);
+      double by = (now_ - call.sent) / overdue_after(*call.route) * call.route->patience;
       if (!call.called_off && by > most) worst = &call, most = by;
     }
     return worst;
@@ -676,7 +686,8 @@
   Millis now_ = 0, due_ = 0;
   std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
-  Fading took_{8000}, timed_{8000}, late_{5000};
+  Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
+  Fading took_now_{3000}, timed_now_{3000}, took_long_{60000}, timed_long_{60000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, std::vector<Endpoint*>> ranking_;
