--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -19,7 +19,8 @@
 std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high) {
   std::int64_t value = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error == std::errc::result_out_of_range) throw Fault(std::string(what) + " is out of range: " + quoted(text));
+  if (error == std::errc::result_out_of_range)
+    throw Fault(std::string(what) + " is out of range: " + quoted(text));
   if (error != std::errc{} || end != text.data() + text.size())
     throw Fault(std::string(what) + " is not a whole number: " + quoted(text));
   if (value < low || value > high) throw Fault(std::string(what) + " is out of range: " + quoted(text));
@@ -86,7 +87,8 @@
   }
   std::string_view text(const std::string& path) const {
     auto found = values_.find(path);
-    return found == values_.end() || found->second == "-" ? std::string_view{} : std::string_view(found->second);
+    return found == values_.end() || found->second == "-" ? std::string_view{}
+                                                          : std::string_view(found->second);
   }
   double number(const std::string& path, double absent = 0) const {
     auto value = text(path);
@@ -94,8 +96,9 @@
   }
   int count(const std::string& path, int absent = 0) const {
     auto value = text(path);
-    return value.empty() ? absent
-                         : static_cast<int>(to_integer(value, path.c_str(), 0, std::numeric_limits<int>::max()));
+    return value.empty()
+               ? absent
+               : static_cast<int>(to_integer(value, path.c_str(), 0, std::numeric_limits<int>::max()));
   }
   Millis time(const std::string& path) const { return number(path) / 1000.0; }
   bool flag(const std::string& path) const {
@@ -158,9 +161,7 @@
   auto weights = pairs.text("weightKind");
   settings.limits_listed = weights == "nominal" || weights == "rough";
   settings.tick = pairs.time("tickUs");
-  settings.drain_grace = pairs.time("rules.drainGraceUs");
   settings.fall_multiple = pairs.number("rules.fallMultiple", 1);
-  settings.fall_span = pairs.time("rules.fallUs");
   settings.start_capacity = pairs.number("rules.startCapacity", 1);
   settings.warm_within = pairs.time("rules.warmWithinUs");
   settings.order_rest = pairs.time("rules.orderSettleUs");
@@ -263,8 +264,8 @@
     acting_.erase(relay);
     return fields.end();
   }
-  constexpr std::array<std::string_view, 7> known{"update",      "arrival", "health", "opened",
-                                                  "reply", "client_left", "wakeup"};
+  constexpr std::array<std::string_view, 7> known{"update", "arrival",     "health", "opened",
+                                                  "reply",  "client_left", "wakeup"};
   if (name != "message" && std::find(known.begin(), known.end(), name) == known.end())
     throw Fault("unknown message: " + quoted(name));
   Instance& instance = instance_of(fields, clock);
@@ -351,13 +352,15 @@
     fields.text();
     return;
   }
-  if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED") throw Fault("unknown scope: " + quoted(scope));
+  if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED")
+    throw Fault("unknown scope: " + quoted(scope));
   auto slot = static_cast<int>(fields.integer("slot", 0, 15));
   fields.integer_or("index", 0, exact_end, 0);
   auto found = lists_.find(slot);
   if (found == lists_.end()) throw Fault("no list has the number " + std::to_string(slot));
   for (const auto& entry : found->second)
-    if (static_cast<std::int64_t>(entry.kind) >= instance.kinds) throw Fault("machine is out of range in the list");
+    if (static_cast<std::int64_t>(entry.kind) >= instance.kinds)
+      throw Fault("machine is out of range in the list");
   guarded(instance, [&](Decision& d) { d.list(found->second, scope != "INCREMENTAL"); });
 }
 
@@ -425,7 +428,8 @@
          << static_cast<std::int64_t>(std::floor(sent.time_out * 1000.0)) << ' '
          << addresses_.at(static_cast<std::uint64_t>(sent.endpoint)) << '\n';
   for (const auto& call : decided.called_off)
-    out_ << "drop_attempt " << number << ' ' << static_cast<std::uint64_t>(call.doc) << ' ' << call.transmission << '\n';
+    out_ << "drop_attempt " << number << ' ' << static_cast<std::uint64_t>(call.doc) << ' '
+         << call.transmission << '\n';
   if (decided.wake_in < 0) return;
   auto in = std::min(longest_timer, std::max<std::int64_t>(1, std::ceil(decided.wake_in * 1000.0)));
   if (instance.wake_at >= 0 && instance.wake_at <= clock + in) return;  // a timer that fires sooner is set
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -1,7 +1,7 @@
-// All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin, list,
-// take, outcome, withdraw) and calls decide(), which goes through the ordered rules at the end of this
-// file until none fires and answers what to send, reject or abandon, and when to be called again at the latest.
-// docs/design.md says which parts are the design's and under which condition each departure acts.
+// All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin,
+// list, take, outcome, withdraw) and calls decide(), which goes through the ordered rules at the end of this
+// file until none fires and answers what to send, reject or abandon, and when to be called again at the
+// latest. docs/design.md says which parts are the design's and under which condition each departure acts.
 #include "decision/decision.h"
 
 #include <algorithm>
@@ -70,7 +70,8 @@
   Standing standing = Standing::listed;
   Route* route = nullptr;
   std::uint64_t rank = 0;
-  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, once met; 0: not met
+  int calls_out = 0, failures_in_row = 0,
+      room = 0;  // room: calls at its connection cap, once met; 0: not met
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never;
 };
 
@@ -126,7 +127,6 @@
       for (auto& [id, doc] : docs_)
         if (doc.tries > 0 && doc.not_before <= now) doc.not_before = now + drawn(0, ladder_base);
     now_ = now;
-    ++turn_;
     done_ = {};
     bundles_.clear();
   }
@@ -146,12 +146,14 @@
         endpoint.route = &routes_[{kind.routes_apart, name}];
         endpoint.route->name = name;
         endpoint.route->bundle_max = kind.bundle_max;
-        endpoint.rank = mixed(static_cast<std::uint64_t>(entry.destination), static_cast<std::uint64_t>(entry.endpoint));
+        endpoint.rank =
+            mixed(static_cast<std::uint64_t>(entry.destination), static_cast<std::uint64_t>(entry.endpoint));
         ranking_[entry.destination].push_back(&endpoint);
-        // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs time and money.
+        // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         std::sort(ranking_[entry.destination].begin(), ranking_[entry.destination].end(),
                   [&](const Endpoint* a, const Endpoint* b) {
-                    return std::tuple(a->hall != set_.hall, a->rank) < std::tuple(b->hall != set_.hall, b->rank);
+                    return std::tuple(a->hall != set_.hall, a->rank) <
+                           std::tuple(b->hall != set_.hall, b->rank);
                   });
       }
       endpoint.standing = entry.standing;
@@ -165,7 +167,7 @@
     doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
     doc.destination = given.destination;
     doc.expiry = now_ + given.left;
-    // A document handed in with less left than its agreed time is in a hurry, not late: its expiry is all that counts.
+    // A document handed in with less left than its agreed time is in a hurry, not late.
     doc.agreed_by = given.left < doc.type->agreed_time
                         ? doc.expiry - margin()
                         : doc.expiry - doc.type->lifetime + doc.type->agreed_time;
@@ -191,7 +193,8 @@
     if (ordered) {
       KeyLane& lane = lanes_[lane_key];
       --lane.out;
-      bool unknown = got.ending == Ending::timed_out || got.ending == Ending::broken || got.ending == Ending::called_off;
+      bool unknown =
+          got.ending == Ending::timed_out || got.ending == Ending::broken || got.ending == Ending::called_off;
       if (unknown) lane.rests_until = std::max(lane.rests_until, now_ + set_.order_rest);
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
@@ -221,7 +224,7 @@
       } else if (got.ending == Ending::not_sent) {
         doc.not_before = now_ + set_.tick;
       } else {
-        // The ladder: base x 2^(try-1), varied. A told wait takes its place, as it holds the whole route to its end.
+        // The ladder: base x 2^(try-1), varied. A told wait takes its place.
         if (got.wait <= 0) ++doc.failures;
         Millis pause = ladder_base * std::exp2(std::min(doc.failures, 16) - 1);
         doc.not_before = got.wait > 0 ? now_ : now_ + pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
@@ -238,8 +241,9 @@
   Decided decide() {
     for (bool fired = true; fired;) {
       fired = false;
-      // A call out far longer than usual counts as failed at that moment: a hung destination is known before its
-      // calls time out, and binding documents, which have no time-out of their own, do not fill the slots behind it.
+      // A call out far longer than usual counts as failed at that moment: a hung destination is known before
+      // its calls time out, and binding documents, which have no time-out of their own, do not fill the slots
+      // behind it.
       for (auto& [number, call] : calls_)
         if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) {
           call.overdue = true;
@@ -292,7 +296,8 @@
 
   void log(const Route& route, const char* what, double a, double b) {
     char line[110];
-    std::snprintf(line, sizeof line, "%s to %llx: %.3g, %.3g", what, static_cast<unsigned long long>(route.name), a, b);
+    std::snprintf(line, sizeof line, "%s to %llx: %.3g, %.3g", what,
+                  static_cast<unsigned long long>(route.name), a, b);
     done_.log.push_back(line);
   }
 
@@ -313,8 +318,8 @@
     if (got.ending == Ending::answered) {
       route.took.add(now_, got.took);
       route.timed.add(now_, 1);
-      for (Fading* sum : {&took_, &took_now_, &took_long_}) sum->add(now_, got.took);
-      for (Fading* sum : {&timed_, &timed_now_, &timed_long_}) sum->add(now_, 1);
+      took_.add(now_, got.took);
+      timed_.add(now_, 1);
       route.good.add(now_, 1);
       if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
@@ -323,8 +328,9 @@
       if (!stale) succeeded(route);
       return;
     }
-    // At a connection cap some calls get in; a dead endpoint answers none. Only the latter is a failure of health.
-    if (got.ending == Ending::not_connected && endpoint.answered_at > call.sent - 2000 && endpoint.calls_out > 1) {
+    // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
+    if (got.ending == Ending::not_connected && call.sent - endpoint.answered_at < 2000 &&
+        endpoint.calls_out > 1) {
       endpoint.room = std::max(1, endpoint.calls_out - 1);
       endpoint.room_met_at = now_;
       return;
@@ -345,8 +351,8 @@
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
-  // Calls that break at one destination after another, each on a connection that had lain idle: something on the way
-  // drops idle connections early. For a while they are closed before use instead; a new one costs a handshake.
+  // Calls that break at one destination after another, each on a connection that had lain idle: something on
+  // the way drops idle connections early. For a while they are closed before use instead; a new one costs.
   void broke_idle(const Call& call) {
     idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * call.idle);
     idle_breaks_.add(now_, 1);
@@ -365,7 +371,8 @@
       route.failing_since = now_;
       if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
     }
-    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says that all is shut.
+    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says of a shut
+    // one.
     bool shut = !waits && now_ - route.failing_since > longest_span;
     if (call.sent < route.opened_at || (refused && route.mode == Mode::closed && !shut)) return;
     ++route.failures_in_row;
@@ -408,8 +415,7 @@
   }
 
   void open(Route& route) {
-    if (route.mode == Mode::closed)
-      log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
+    if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
     route.mode = Mode::open;
     route.opened_at = now_;
     route.trial_at = now_ + trial_pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
@@ -457,8 +463,10 @@
   }
 
   bool sick(Route& route) {
-    if (route.slow.read(now_) > slow_share * route.ended.read(now_) && route.slow.read(now_) > 0.05) return true;
-    return route.bad.read(now_) > 0.25 * (route.good.read(now_) + route.bad.read(now_)) && route.bad.read(now_) > 0.2;
+    if (route.slow.read(now_) > slow_share * route.ended.read(now_) && route.slow.read(now_) > 0.05)
+      return true;
+    return route.bad.read(now_) > 0.25 * (route.good.read(now_) + route.bad.read(now_)) &&
+           route.bad.read(now_) > 0.2;
   }
 
   int cap(Route& route) {
@@ -493,7 +501,8 @@
     return rate;
   }
 
-  // Rules 3, 4 and 6 and the caps: when a call may go on this route; never means that an event must come first.
+  // Rules 3, 4 and 6 and the caps: when a call may go on this route; never means that an event must come
+  // first.
   Millis free_at(Route& route) {
     if (now_ < route.told_until) return route.told_until;
     if (route.mode == Mode::open) return route.trial_at;
@@ -514,13 +523,15 @@
   Endpoint* choose(const Doc& doc, int slots) {
     Endpoint* best = nullptr;
     auto burden = [&](const Endpoint& e) {
-      return std::tuple(!joins(e), now_ < e.rests_until, e.failures_in_row > 0, e.calls_out);
+      return std::tuple(!joins(e), now_<e.rests_until, e.failures_in_row> 0, e.calls_out);
     };
     for (Endpoint* e : ranking_[doc.destination]) {
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
-      // A trial may end without an outcome: no binding document is risked while one that may go again waits there.
+      // A trial may end without an outcome: no binding document is risked while one that may go again waits
+      // there.
       bool binding = doc.type->repeat == Repeat::binding;
-      if (binding && (e->route->mode != Mode::closed || sick(*e->route)) && harmless_[doc.destination] > 0) continue;
+      if (binding && (e->route->mode != Mode::closed || sick(*e->route)) && harmless_[doc.destination] > 0)
+        continue;
       if (!joins(*e)) {
         if (calls_out_ >= slots || free_at(*e->route) > now_) continue;
         if (e->room > 0 && now_ < e->room_met_at + 5000 && e->calls_out >= e->room) continue;
@@ -558,7 +569,9 @@
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
 
-  bool fails_in_row(Route& route) { return route.mode == Mode::closed && route.failures_in_row >= failures_to_open; }
+  bool fails_in_row(Route& route) {
+    return route.mode == Mode::closed && route.failures_in_row >= failures_to_open;
+  }
   void hold(Route& route) { open(route); }
 
   // Rule 1: a final answer before the client's time is up.
@@ -569,18 +582,22 @@
     return !may_go_again(doc, std::max(now_, doc.not_before));
   }
   void end(Doc& doc) {
+    Millis free = never;  // with time left, the client is told when the destination may take a call again
+    for (Endpoint* e : ranking_[doc.destination]) free = std::min(free, free_at(*e->route));
+    Millis wait = free < doc.expiry ? std::min(free - now_, set_.reject_wait_max) : 0;
     if (may_reject(doc))
-      done_.rejected.push_back({doc.id, 0});
+      done_.rejected.push_back({doc.id, wait});
     else
       done_.abandoned.push_back(doc.id);
     close(doc);
   }
 
-  // A full room turns away fresh documents at the door, as when a destination with much traffic is down for long. A tenth
-  // of it is kept free: documents that have lost all they can lose make way, those nearest to their expiry first.
+  // A full room turns away fresh documents at the door, as when a destination with much traffic is down for
+  // long. A tenth of it is kept free: documents that have lost all they can lose make way, those nearest to
+  // their expiry first.
   bool crowds_out(Doc& doc) {
-    return set_.room > 0 && static_cast<double>(docs_.size()) > 0.9 * set_.room && doc.out == 0 && may_reject(doc) &&
-           std::get<0>(urgency(doc)) >= 2;
+    return set_.room > 0 && static_cast<double>(docs_.size()) > 0.9 * set_.room && doc.out == 0 &&
+           may_reject(doc) && std::get<0>(urgency(doc)) >= 2;
   }
 
   bool can_go(Doc& doc) {
@@ -612,20 +629,17 @@
     ++doc.tries, ++doc.out;
   }
 
-  // Slots taken by calls far overdue, over several hung destinations at once, starve the healthy ones. While a
-  // document waits for a slot only, the call furthest overdue is called off; a binding document is lost with it.
+  // Slots taken by calls far overdue, over several hung destinations at once, starve the healthy ones. While
+  // a document waits for a slot only, the call furthest overdue is called off; a binding document is lost
+  // with it.
   bool wants_slot(Doc& doc) {
     if (!set_.may_call_off || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
     return doc.out == 0 && now_ >= doc.not_before && std::get<0>(urgency(doc)) < 2 && in_turn(doc) &&
            choose(doc, set_.slots + 1) != nullptr && furthest_overdue() != nullptr;
   }
-  // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only slow, and
-  // calling off would throw away work that the destinations go on with.
-  bool hanging() { return hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_) && !slower(); }
-  bool slower() {
-    double n = timed_now_.read(now_), before = timed_long_.read(now_);
-    return n > 2 && took_now_.read(now_) / n > 1.5 * took_long_.read(now_) / before;
-  }
+  // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only
+  // slow, and calling off would throw away work that the destinations go on with.
+  bool hanging() { return hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_); }
   Call* furthest_overdue() {
     Call* worst = nullptr;
     double most = hanging() ? 0.6 : 2.5;
@@ -641,7 +655,8 @@
     ++freed_;
     doc.not_before = now_ + set_.tick;
     for (auto& [transmission, entry] : out_)
-      if (&calls_[std::get<0>(entry)] == call) done_.called_off.push_back({transmission.first, transmission.second});
+      if (&calls_[std::get<0>(entry)] == call)
+        done_.called_off.push_back({transmission.first, transmission.second});
     log(*call->route, "called off for want of a slot", now_ - call->sent, calls_out_);
   }
 
@@ -684,10 +699,9 @@
   const Settings set_;
   std::minstd_rand chance_;
   Millis now_ = 0, due_ = 0;
-  std::uint64_t turn_ = 0, taken_ = 0, call_number_ = 0;
+  std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
-  Fading took_now_{3000}, timed_now_{3000}, took_long_{60000}, timed_long_{60000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, std::vector<Endpoint*>> ranking_;
@@ -699,14 +713,15 @@
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
   std::map<DestinationId, int> ready_, harmless_;  // documents that could go now; those that may run again
-  bool short_ = false;                  // of slots
+  bool short_ = false;                             // of slots
   Decided done_;
   Fading idle_breaks_{30000};
   Millis idle_limit_ = never;
   const Route* idle_broken_ = nullptr;
 };
 
-Decision::Decision(const Settings& settings, std::uint64_t seed) : relay_(std::make_unique<Relay>(settings, seed)) {}
+Decision::Decision(const Settings& settings, std::uint64_t seed)
+    : relay_(std::make_unique<Relay>(settings, seed)) {}
 Decision::~Decision() = default;
 Decision::Decision(Decision&&) noexcept = default;
 Decision& Decision::operator=(Decision&&) noexcept = default;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -50,9 +50,7 @@
   bool value_halves = false;  // each further agreed time; else evenly down to the expiry
   bool limits_listed = false;
   Millis tick = 0;
-  Millis drain_grace = 0;
   double fall_multiple = 1;
-  Millis fall_span = 0;
   double start_capacity = 1;
   Millis warm_within = 0;
   Millis order_rest = 0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1,5 +1,5 @@
-// Plays the scenarios of tests/scenarios, whose notation is told in tests/scenarios/README.txt. Endpoints answer as
-// the scenario says, the relay is woken when it asked, and the six rules are checked on every step.
+// Plays the scenarios of tests/scenarios, whose notation is told in tests/scenarios/README.txt. Endpoints
+// answer as the scenario says, the relay is woken when it asked, and the six rules are checked on every step.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -23,11 +23,15 @@
   return found == words.end() ? absent : std::stod(found->second);
 }
 
-std::uint64_t tag(const std::string& name) { return std::stoull(name.substr(name.find_first_of("0123456789"))); }
+std::uint64_t tag(const std::string& name) {
+  return std::stoull(name.substr(name.find_first_of("0123456789")));
+}
 
-const std::map<std::string, Ending> endings{
-    {"answered", Ending::answered}, {"error", Ending::error}, {"refused", Ending::refused},
-    {"not_connected", Ending::not_connected}, {"broken", Ending::broken}};
+const std::map<std::string, Ending> endings{{"answered", Ending::answered},
+                                            {"error", Ending::error},
+                                            {"refused", Ending::refused},
+                                            {"not_connected", Ending::not_connected},
+                                            {"broken", Ending::broken}};
 
 class Play {
  public:
@@ -39,15 +43,23 @@
     std::vector<std::string> plain;
     for (std::string word; in >> word;) {
       auto equals = word.find('=');
-      if (equals == std::string::npos) plain.push_back(word);
-      else words[word.substr(0, equals)] = word.substr(equals + 1);
+      if (equals == std::string::npos)
+        plain.push_back(word);
+      else
+        words[word.substr(0, equals)] = word.substr(equals + 1);
     }
-    if (verb == "relay") relay(words);
-    else if (verb == "type") type(words);
-    else if (verb == "kind") set_.kinds.push_back({number(words, "apart", 0) > 0, int(number(words, "bundle", 1))});
-    else if (verb == "expect") expect(plain, words, text);
-    else if (verb[0] == '@') at(std::stod(verb.substr(1)), plain, words);
-    else FAIL() << "unknown line: " << text;
+    if (verb == "relay")
+      relay(words);
+    else if (verb == "type")
+      type(words);
+    else if (verb == "kind")
+      set_.kinds.push_back({number(words, "apart", 0) > 0, int(number(words, "bundle", 1))});
+    else if (verb == "expect")
+      expect(plain, words, text);
+    else if (verb[0] == '@')
+      at(std::stod(verb.substr(1)), plain, words);
+    else
+      FAIL() << "unknown line: " << text;
   }
 
  private:
@@ -72,7 +84,7 @@
   void relay(const Words& w) {
     set_.relays = int(number(w, "relays", 1)), set_.slots = int(number(w, "slots", 20));
     set_.room = int(number(w, "room", 0)), set_.max_transmissions = int(number(w, "tries", 12));
-    set_.tick = 5, set_.drain_grace = 2000, set_.fall_multiple = number(w, "multiple", 2), set_.fall_span = 2000;
+    set_.tick = 5, set_.fall_multiple = number(w, "multiple", 2);
     set_.start_capacity = number(w, "start", 0.2), set_.warm_within = number(w, "warm", 10000);
     set_.order_rest = number(w, "rest", 0), set_.value_halves = number(w, "halves", 1) > 0;
     set_.limits_listed = number(w, "listed", 0) > 0, seed_ = std::uint64_t(number(w, "seed", 7));
@@ -80,10 +92,13 @@
   }
   void type(const Words& w) {
     DocType t;
-    t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000), t.value = number(w, "value", 1);
+    t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000),
+    t.value = number(w, "value", 1);
     t.late_value = 0.3, t.key_window = number(w, "window", 12000), t.in_order = number(w, "ordered", 0) > 0;
     auto repeat = w.count("repeat") ? w.at("repeat") : "replayable";
-    t.repeat = repeat == "binding" ? Repeat::binding : repeat == "numbered" ? Repeat::numbered : Repeat::replayable;
+    t.repeat = repeat == "binding"    ? Repeat::binding
+               : repeat == "numbered" ? Repeat::numbered
+                                      : Repeat::replayable;
     t.key_group = w.count("group") && w.at("group") == "hall" ? KeyGroup::hall : KeyGroup::everywhere;
     set_.doc_types.push_back(t);
   }
@@ -104,17 +119,27 @@
     if (!open_) decision_->begin(now_), open_ = true;
     const std::string& verb = plain.at(0);
     if (verb == "list" || verb == "drain" || verb == "gone") {
-      EndpointEntry e{EndpointId(tag(plain.at(1))), DestinationId(number(words, "for", 1)), KindId(number(words, "kind", 0)),
-                      HallId(number(words, "hall", 0)), Standing::listed, number(words, "rate", 0)};
+      EndpointEntry e{EndpointId(tag(plain.at(1))),
+                      DestinationId(number(words, "for", 1)),
+                      KindId(number(words, "kind", 0)),
+                      HallId(number(words, "hall", 0)),
+                      Standing::listed,
+                      number(words, "rate", 0)};
       e.standing = verb == "list" ? Standing::listed : verb == "drain" ? Standing::draining : Standing::gone;
-      told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + set_.drain_grace;
-      owner_[e.endpoint] = set_.kinds.at(std::size_t(e.kind)).routes_apart ? 1000 + tag(plain.at(1)) : std::uint64_t(e.destination);
+      told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + 2000;
+      owner_[e.endpoint] = set_.kinds.at(std::size_t(e.kind)).routes_apart ? 1000 + tag(plain.at(1))
+                                                                           : std::uint64_t(e.destination);
       decision_->list({e}, false);
     } else if (verb == "take") {
       for (int i = 0; i < int(number(words, "times", 1)); ++i) {
         Known k;
-        k.doc = {DocId(tag(plain.at(1)) + std::uint64_t(i)), DocTypeId(number(words, "type", 0)), TenantId(0),
-                 DestinationId(number(words, "for", 1)), words.count("key") > 0, KeyId(number(words, "key", 0)), 0};
+        k.doc = {DocId(tag(plain.at(1)) + std::uint64_t(i)),
+                 DocTypeId(number(words, "type", 0)),
+                 TenantId(0),
+                 DestinationId(number(words, "for", 1)),
+                 words.count("key") > 0,
+                 KeyId(number(words, "key", 0)),
+                 0};
         k.doc.left = number(words, "left", set_.doc_types.at(std::size_t(k.doc.type)).lifetime);
         k.expiry = now_ + k.doc.left;
         known_[k.doc.id] = k;
@@ -122,8 +147,12 @@
         decision_->take(k.doc);
       }
     } else if (verb == "endpoint") {
-      manners_[EndpointId(tag(plain.at(1)))] = {plain.at(2), number(words, "after", 100), number(words, "wait", 0),
-                                                number(words, "every", 1), number(words, "share", 1), number(words, "limit", 0),
+      manners_[EndpointId(tag(plain.at(1)))] = {plain.at(2),
+                                                number(words, "after", 100),
+                                                number(words, "wait", 0),
+                                                number(words, "every", 1),
+                                                number(words, "share", 1),
+                                                number(words, "limit", 0),
                                                 number(words, "idle", 0)};
     } else if (verb == "stall") {
       stalled_until_ = now_ + number(words, "for", 0);
@@ -195,9 +224,11 @@
     sent_.push_back({now_, t.doc, t.endpoint, k.tries});
     Manner m = manners_[t.endpoint];
     auto bundle = std::make_pair(now_, t.endpoint);
-    if (m.every > 1 && !bundled_.count(bundle) && ++counts_[t.endpoint] % int(m.every) != 0) m.ending = "answered";
+    if (m.every > 1 && !bundled_.count(bundle) && ++counts_[t.endpoint] % int(m.every) != 0)
+      m.ending = "answered";
     bundled_.insert(bundle);
-    if (m.idle > 0 && used_.count(t.endpoint) && now_ > used_[t.endpoint] + m.idle) m.ending = "broken", m.after = 10;
+    if (m.idle > 0 && used_.count(t.endpoint) && now_ > used_[t.endpoint] + m.idle)
+      m.ending = "broken", m.after = 10;
     used_[t.endpoint] = now_;
     bool late = m.ending == "silent" || (t.time_out > 0 && m.after >= t.time_out);
     Outcome o;
@@ -226,7 +257,8 @@
         if (o.ending == Ending::answered && !k.ended) answered_[o.doc] = now_;
         k.ended = o.over;
         if (o.ending != Ending::refused && o.ending != Ending::not_connected) k.may_have_run = true;
-        if (o.ending == Ending::timed_out || o.ending == Ending::broken) rests_[k.doc.key] = now_ + set_.order_rest;
+        if (o.ending == Ending::timed_out || o.ending == Ending::broken)
+          rests_[k.doc.key] = now_ + set_.order_rest;
         if (o.wait > 0) waits_[owner_[o.endpoint]] = std::max(waits_[owner_[o.endpoint]], now_ + o.wait);
         decision_->outcome(o);
       }
@@ -250,15 +282,19 @@
             (!words.count("endpoint") || EndpointId(tag(words.at("endpoint"))) == s.endpoint))
           ++count, calls.emplace(s.at, s.endpoint);
       if (what == "calls") count = double(calls.size());
-    } else if (what == "answered") ends(answered_);
-    else if (what == "rejected") ends(rejected_);
-    else if (what == "abandoned") ends(abandoned_);
+    } else if (what == "answered")
+      ends(answered_);
+    else if (what == "rejected")
+      ends(rejected_);
+    else if (what == "abandoned")
+      ends(abandoned_);
     else if (what == "log") {
       std::string wanted = text.substr(text.find(" log ") + 5);
       for (const auto& line : logs_) count += line.find(wanted) != std::string::npos;
       EXPECT_GT(count, 0) << text;
       return;
-    } else FAIL() << "unknown expectation: " << text;
+    } else
+      FAIL() << "unknown expectation: " << text;
     EXPECT_GE(count, number(words, "least", words.count("most") ? 0 : 1)) << text;
     EXPECT_LE(count, number(words, "most", 1e9)) << text;
   }
@@ -304,8 +340,10 @@
       EXPECT_EQ(got.substr(0, wanted.size()), wanted) << text;
     };
     while (std::getline(in, line)) {
-      if (line.rfind("== ", 0) == 0) play(), wanted = line.substr(3), text.clear();
-      else text += line + "\n";
+      if (line.rfind("== ", 0) == 0)
+        play(), wanted = line.substr(3), text.clear();
+      else
+        text += line + "\n";
     }
     return play();
   }
@@ -316,7 +354,8 @@
 std::vector<std::filesystem::path> scenarios() {
   std::vector<std::filesystem::path> found;
   for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS))
-    if (entry.path().extension() == ".scene" || entry.path().extension() == ".wire") found.push_back(entry.path());
+    if (entry.path().extension() == ".scene" || entry.path().extension() == ".wire")
+      found.push_back(entry.path());
   std::sort(found.begin(), found.end());
   return found;
 }
