--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -156,6 +156,7 @@
   settings.slots = pairs.count("specifics.slots", 1);
   settings.room = pairs.count("limits.openCap");
   settings.max_transmissions = pairs.count("limits.maxAttempts", 1);
+  settings.list_on_request = pairs.text("registryMode") == "on_request";
   settings.may_call_off = pairs.flag("limits.cancel");
   settings.value_halves = pairs.text("specifics.decay") == "halving";
   auto weights = pairs.text("weightKind");
@@ -350,6 +351,7 @@
   auto scope = fields.word("scope");
   if (scope == "FAILED") {
     fields.text();
+    guarded(instance, [](Decision& d) { d.list_failed(); });
     return;
   }
   if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED")
@@ -415,6 +417,7 @@
     out_ << "panic " << number << ' ' << instance.fault << '\n';
     return;
   }
+  if (decided.follow_list) out_ << "follow " << number << " 1\n";
   for (const auto& line : decided.log) out_ << "say_log " << number << ' ' << line << '\n';
   for (const auto& reject : decided.rejected)
     out_ << "overload_reply " << number << ' ' << static_cast<std::uint64_t>(reject.doc) << ' '
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -161,6 +161,8 @@
     }
   }
 
+  void list_failed() { follow_at_ = now_ + trial_pause * drawn(1 - ladder_jitter, 1 + ladder_jitter); }
+
   void take(const Document& given) {
     Doc& doc = docs_[given.id];
     doc.id = given.id;
@@ -270,6 +272,7 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
+    if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
     due_ = next_due();
     done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
     return std::move(done_);
@@ -659,7 +662,7 @@
   }
 
   Millis next_due() {
-    Millis due = never;
+    Millis due = follow_at_;
     for (auto& [number, call] : calls_)
       if (!call.overdue) due = std::min(due, std::max(now_, call.sent + overdue_after(*call.route)));
     for (auto& [id, doc] : docs_) {
@@ -696,6 +699,7 @@
 
   const Settings set_;
   std::minstd_rand chance_;
+  Millis follow_at_ = set_.list_on_request ? 0 : never;
   Millis now_ = 0, due_ = 0;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
@@ -725,6 +729,7 @@
 Decision& Decision::operator=(Decision&&) noexcept = default;
 void Decision::begin(Millis now) { relay_->begin(now); }
 void Decision::list(const std::vector<EndpointEntry>& entries, bool whole) { relay_->list(entries, whole); }
+void Decision::list_failed() { relay_->list_failed(); }
 void Decision::take(const Document& document) { relay_->take(document); }
 void Decision::outcome(const Outcome& outcome) { relay_->outcome(outcome); }
 void Decision::withdraw(DocId doc) { relay_->withdraw(doc); }
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -47,7 +47,8 @@
   int room = 0;  // documents held at once; 0: not limited
   int max_transmissions = 1;
   bool may_call_off = false;
-  bool value_halves = false;  // each further agreed time; else evenly down to the expiry
+  bool list_on_request = false;  // changes of the list come only after following it
+  bool value_halves = false;     // each further agreed time; else evenly down to the expiry
   bool limits_listed = false;
   Millis tick = 0;
   double fall_multiple = 1;
@@ -123,6 +124,7 @@
   std::vector<Transmit> transmitted;
   std::vector<EndpointId> closed;  // idle connections, before any transmission of this turn
   std::vector<CallOff> called_off;
+  bool follow_list = false;
   std::vector<std::string> log;
   Millis wake_in = -1;  // negative: only when something happens
 };
@@ -136,6 +138,7 @@
 
   void begin(Millis now);
   void list(const std::vector<EndpointEntry>& entries, bool whole);
+  void list_failed();  // following the list failed or ended
   void take(const Document& document);
   void outcome(const Outcome& outcome);
   void withdraw(DocId doc);
