Fold repeated conditions of the module and drop what nothing reads

The varied pause, the cold state, a document's readiness and the freshness of hints were each written out several times; a reset of the risk time was dead, and settings and fields that nothing read went.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -140,8 +140,6 @@
   return text == "-" ? absent : to_integer(text, what, low, high);
 }
 
-double Fields::number(const char* what) { return to_number(word(what), what); }
-
 bool Fields::flag(const char* what) { return to_flag(word(what), what); }
 
 void Fields::end() {
@@ -172,7 +170,6 @@
     DocType type;
     type.agreed_time = pairs.time(path + "goalTimeUs");
     type.lifetime = pairs.time(path + "deadlineUs");
-    type.value = pairs.number(path + "worth", 1);
     type.late_value = pairs.number(path + "lateWorth");
     auto repeat = pairs.text(path + "repeat");
     if (!repeat.empty()) type.repeat = one_of(repeats, repeat, "repeat");
@@ -377,7 +374,6 @@
   outcome.endpoint = endpoint_id(fields.word("endpoint"));
   outcome.hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"));
   if (outcome.ending == Ending::refused) outcome.wait = note;
-  if (outcome.ending == Ending::not_sent) outcome.no_slot = note != 0;
   guarded(instance, [&](Decision& d) { d.outcome(outcome); });
 }
 
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -30,7 +30,6 @@
   std::string_view text() { return std::exchange(rest_, {}); }
   std::int64_t integer(const char* what, std::int64_t low, std::int64_t high);
   std::int64_t integer_or(const char* what, std::int64_t low, std::int64_t high, std::int64_t absent);
-  double number(const char* what);
   bool flag(const char* what);
   bool at_end() const { return rest_.empty(); }
   void end();
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -65,13 +65,12 @@
 
 struct Endpoint {
   EndpointId id{};
-  DestinationId destination{};
   HallId hall{};
   Standing standing = Standing::listed;
   Route* route = nullptr;
   std::uint64_t rank = 0;
-  int calls_out = 0, failures_in_row = 0,
-      room = 0;  // room: calls at its connection cap, once met; 0: not met
+  int calls_out = 0, failures_in_row = 0;
+  int room = 0;  // calls at its connection cap, once met; 0: not met
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never;
 };
 
@@ -141,7 +140,6 @@
         auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint)
                                       : static_cast<std::uint64_t>(entry.destination);
         endpoint.id = entry.endpoint;
-        endpoint.destination = entry.destination;
         endpoint.hall = entry.hall;
         endpoint.route = &routes_[{kind.routes_apart, name}];
         endpoint.route->name = name;
@@ -161,7 +159,7 @@
     }
   }
 
-  void list_failed() { follow_at_ = now_ + trial_pause * drawn(1 - ladder_jitter, 1 + ladder_jitter); }
+  void list_failed() { follow_at_ = now_ + varied(trial_pause); }
 
   void take(const Document& given) {
     Doc& doc = docs_[given.id];
@@ -220,7 +218,6 @@
       Doc& doc = holder->second;
       --doc.out;
       if (!never_ran && got.ending != Ending::answered) note_risk(doc, call);
-      if (never_ran && doc.out == 0 && !doc.may_have_run) doc.risked_at = never;
       if (got.over) {
         close(doc);
       } else if (got.ending == Ending::not_sent) {
@@ -229,7 +226,7 @@
         // The ladder: base x 2^(try-1), varied. A told wait takes its place.
         if (got.wait <= 0) ++doc.failures;
         Millis pause = ladder_base * std::exp2(std::min(doc.failures, 16) - 1);
-        doc.not_before = got.wait > 0 ? now_ : now_ + pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
+        doc.not_before = got.wait > 0 ? now_ : now_ + varied(pause);
       }
     }
     if (call.docs == 0) calls_.erase(call_number);
@@ -257,7 +254,7 @@
       short_ = calls_out_ >= 0.8 * set_.slots;
       ready_.clear(), harmless_.clear();
       for (auto& [id, doc] : docs_)
-        if (doc.out == 0 && now_ >= doc.not_before) {
+        if (is_ready(doc)) {
           ++ready_[doc.destination];
           if (doc.type->repeat != Repeat::binding) ++harmless_[doc.destination];
         }
@@ -297,6 +294,8 @@
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
 
+  Millis varied(Millis pause) { return pause * drawn(1 - ladder_jitter, 1 + ladder_jitter); }
+
   void log(const Route& route, const char* what, double a, double b) {
     char line[110];
     std::snprintf(line, sizeof line, "%s to %llx: %.3g, %.3g", what,
@@ -305,6 +304,7 @@
   }
 
   Millis margin() const { return 2 * set_.tick; }
+  bool is_cold(const Route& route) const { return now_ < route.cold_since + set_.warm_within; }
 
   // Health, latency and pace of a route, from one call's end.
   void count(Call& call, const Outcome& got) {
@@ -368,14 +368,13 @@
     Endpoint& endpoint = *call.endpoint;
     if (!refused) {
       route.bad.add(now_, 1);
-      if (++endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + 2 * trial_pause * drawn(0.8, 1.2);
+      if (++endpoint.failures_in_row >= 2) endpoint.rests_until = now_ + varied(2 * trial_pause);
     }
     if (route.failing_since >= never) {
       route.failing_since = now_;
-      if (now_ > route.cold_since + set_.warm_within) route.rate_before = route.calls.per_second(now_);
+      if (!is_cold(route)) route.rate_before = route.calls.per_second(now_);
     }
-    // A refusal alone says that the limit is met; only a streak that outlasts a limit's span says of a shut
-    // one.
+    // A refusal alone says that the limit is met; only a streak longer than a limit's span tells a shut one.
     bool shut = !waits && now_ - route.failing_since > longest_span;
     if (call.sent < route.opened_at || (refused && route.mode == Mode::closed && !shut)) return;
     ++route.failures_in_row;
@@ -388,7 +387,7 @@
   void told_wait(Route& route, Millis until, bool limit_met) {
     route.told_until = std::max(route.told_until, until);
     if (limit_met || route.told_until - std::min(now_, route.failing_since) <= longest_span) return;
-    if (now_ > route.cold_since + set_.warm_within) {
+    if (!is_cold(route)) {
       if (route.failing_since >= never) route.rate_before = route.calls.per_second(now_);
       log(route, "shut, cold after", route.told_until - now_, route.rate_before);
     }
@@ -402,7 +401,7 @@
     bool outage = shut || failing > (route.mode == Mode::closed ? 0.5 : 0.1);
     route.refused_in_row = 0;
     if (route.failing_since < never && outage) {
-      if (now_ > route.cold_since + set_.warm_within) log(route, "cold return", route.rate_before, failing);
+      if (!is_cold(route)) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_;
     }
     if (route.mode == Mode::closed) route.failing_since = never;
@@ -421,7 +420,7 @@
     if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
     route.mode = Mode::open;
     route.opened_at = now_;
-    route.trial_at = now_ + trial_pause * drawn(1 - ladder_jitter, 1 + ladder_jitter);
+    route.trial_at = now_ + varied(trial_pause);
   }
 
   void note_risk(Doc& doc, const Call& call) {
@@ -490,8 +489,9 @@
     double rate = never, part = 1.0 / set_.relays;
     if (route.limit > 0) {
       // The relay's own part of the limit; more only while fresh hints say that the others leave room.
-      double spare = now_ < route.hinted_at + 1500 ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
-      double held = now_ < route.hinted_at + 1500 ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
+      bool fresh = now_ < route.hinted_at + 1500;
+      double spare = fresh ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
+      double held = fresh ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
       rate = route.limit * (part * held + (1 - part) * spare);
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
@@ -512,7 +512,7 @@
     if (route.mode == Mode::trial && route.calls_out > 0) return never;
     if (route.mode == Mode::following && route.calls_out >= 2) return never;
     if (route.calls_out >= cap(route)) return never;
-    Millis ahead = now_ < route.cold_since + set_.warm_within ? 0 : 300;
+    Millis ahead = is_cold(route) ? 0 : 300;
     return route.next_call <= now_ + ahead ? now_ : route.next_call - ahead;
   }
 
@@ -575,7 +575,6 @@
   bool fails_in_row(Route& route) {
     return route.mode == Mode::closed && route.failures_in_row >= failures_to_open;
   }
-  void hold(Route& route) { open(route); }
 
   // Rule 1: a final answer before the client's time is up.
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
@@ -601,9 +600,11 @@
            may_reject(doc) && std::get<0>(urgency(doc)) >= 2;
   }
 
-  bool can_go(Doc& doc) {
-    return doc.out == 0 && now_ >= doc.not_before && in_turn(doc) && choose(doc, set_.slots) != nullptr;
+  bool is_ready(const Doc& doc) const { return doc.out == 0 && now_ >= doc.not_before; }
+  bool could_go(Doc& doc, int slots) {
+    return is_ready(doc) && in_turn(doc) && choose(doc, slots) != nullptr;
   }
+  bool can_go(Doc& doc) { return could_go(doc, set_.slots); }
   void transmit(Doc& doc) {
     Endpoint& endpoint = *choose(doc, set_.slots);
     Route& route = *endpoint.route;
@@ -619,7 +620,7 @@
       route.calls.add(now_, 1);
       route.recent.add(now_, 1);
       route.next_call = std::max(now_, route.next_call) + 1000 / pace(route);
-    } else if (now_ < route.cold_since + set_.warm_within) {
+    } else if (is_cold(route)) {
       route.next_call += 120 / pace(route);
     }
     auto number = bundles_[endpoint.id];
@@ -635,8 +636,7 @@
   // with it.
   bool wants_slot(Doc& doc) {
     if (!set_.may_call_off || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
-    return doc.out == 0 && now_ >= doc.not_before && std::get<0>(urgency(doc)) < 2 && in_turn(doc) &&
-           choose(doc, set_.slots + 1) != nullptr && furthest_overdue() != nullptr;
+    return std::get<0>(urgency(doc)) < 2 && could_go(doc, set_.slots + 1) && furthest_overdue() != nullptr;
   }
   // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only
   // slow, and calling off would throw away work that the destinations go on with.
@@ -686,7 +686,7 @@
   }
 
   static constexpr RouteRule route_rules[] = {
-      {"five failures in a row open", &Relay::fails_in_row, &Relay::hold},
+      {"five failures in a row open", &Relay::fails_in_row, &Relay::open},
       {"one trial after the pause", &Relay::trial_is_due, &Relay::allow_trial},
   };
   static constexpr DocRule doc_rules[] = {
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -27,7 +27,6 @@
 struct DocType {
   Millis agreed_time = 0;
   Millis lifetime = 0;
-  double value = 1;
   double late_value = 0;
   Repeat repeat = Repeat::binding;
   KeyGroup key_group = KeyGroup::everywhere;
@@ -96,7 +95,6 @@
   Ending ending = Ending::answered;
   EndpointId endpoint{};
   bool over = false;  // the document has its final answer
-  bool no_slot = false;
   Millis wait = 0;
   Millis took = 0;
   Hints hints;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -85,8 +85,7 @@
   }
   void type(const Words& w) {
     DocType t;
-    t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000),
-    t.value = number(w, "value", 1);
+    t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000);
     t.late_value = 0.3, t.key_window = number(w, "window", 12000), t.in_order = number(w, "ordered", 0) > 0;
     auto repeat = w.count("repeat") ? w.at("repeat") : "replayable";
     t.repeat = repeat == "binding"    ? Repeat::binding
