Close idle connections that a relay would hardly use again once connections fail

Also guards against any endpoint that counts connections; does harm where connections are dear and failures come from dead endpoints only: up to one handshake a document for half a minute.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -126,8 +126,7 @@
       for (auto& [id, doc] : docs_)
         if (doc.tries > 0 && doc.not_before <= now) doc.not_before = now + drawn(0, ladder_base);
     now_ = now;
-    done_ = {};
-    bundles_.clear();
+    done_ = {}, bundles_.clear();
   }
 
   void list(const std::vector<EndpointEntry>& entries, bool whole) {
@@ -137,15 +136,14 @@
       Endpoint& endpoint = endpoints_[entry.endpoint];
       if (!endpoint.route) {
         const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
-        auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint)
-                                      : static_cast<std::uint64_t>(entry.destination);
+        auto whole = static_cast<std::uint64_t>(entry.destination);
+        auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint) : whole;
         endpoint.id = entry.endpoint;
         endpoint.hall = entry.hall;
         endpoint.route = &routes_[{kind.routes_apart, name}];
         endpoint.route->name = name;
         endpoint.route->bundle_max = kind.bundle_max;
-        endpoint.rank =
-            mixed(static_cast<std::uint64_t>(entry.destination), static_cast<std::uint64_t>(entry.endpoint));
+        endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint));
         ranking_[entry.destination].push_back(&endpoint);
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         std::sort(ranking_[entry.destination].begin(), ranking_[entry.destination].end(),
@@ -188,13 +186,11 @@
     auto [call_number, lane_key, ordered] = found->second;
     out_.erase(found);
     Call& call = calls_[call_number];
-    bool never_ran = got.ending == Ending::refused || got.ending == Ending::not_connected ||
-                     got.ending == Ending::not_sent;
+    bool unknown =
+        got.ending == Ending::timed_out || got.ending == Ending::broken || got.ending == Ending::called_off;
     if (ordered) {
       KeyLane& lane = lanes_[lane_key];
       --lane.out;
-      bool unknown =
-          got.ending == Ending::timed_out || got.ending == Ending::broken || got.ending == Ending::called_off;
       if (unknown) lane.rests_until = std::max(lane.rests_until, now_ + set_.order_rest);
     }
     // Rule 6: a told wait binds every send of the route; each document of a bundle may name its own.
@@ -209,7 +205,7 @@
     call.counted = true;
     if (--call.docs == 0) {
       --call.route->calls_out;
-      if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_;
+      if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_, used_.insert(call.endpoint->id);
       --calls_out_;
       freed_ -= call.called_off;
     }
@@ -217,7 +213,7 @@
     if (holder != docs_.end()) {
       Doc& doc = holder->second;
       --doc.out;
-      if (!never_ran && got.ending != Ending::answered) note_risk(doc, call);
+      if (unknown || got.ending == Ending::error) note_risk(doc, call);
       if (got.over) {
         close(doc);
       } else if (got.ending == Ending::not_sent) {
@@ -248,7 +244,7 @@
           call.overdue = true;
           failed(call, false, false);
         }
-      for (const RouteRule& rule : route_rules)
+      for (const Rule<Route>& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
       short_ = calls_out_ >= 0.8 * set_.slots;
@@ -261,7 +257,7 @@
       waiting_.clear();
       for (auto& [id, doc] : docs_) waiting_.push_back({urgency(doc), &doc});
       std::sort(waiting_.begin(), waiting_.end());
-      for (const DocRule& rule : doc_rules)
+      for (const Rule<Doc>& rule : doc_rules)
         for (auto& [grade, doc] : waiting_)
           if (doc && (this->*rule.when)(*doc)) {
             DocId id = doc->id;
@@ -269,6 +265,14 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
+    // Where connections fail, endpoints may take only so many, idle ones counted. What this relay would hardly
+    // use again before its idle time equals many calls is closed at once.
+    for (EndpointId id : std::exchange(used_, {})) {
+      Endpoint& e = endpoints_[id];
+      if (e.calls_out == 0 && unconnected_.read(now_) > 0.3 &&
+          e.route->calls.per_second(now_) * usual(*e.route) < 100)
+        done_.closed.push_back(id);
+    }
     if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
     due_ = next_due();
     done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
@@ -276,15 +280,11 @@
   }
 
  private:
-  struct RouteRule {
-    const char* name;
-    bool (Relay::*when)(Route&);
-    void (Relay::*then)(Route&);
-  };
-  struct DocRule {
+  template <typename Subject>
+  struct Rule {
     const char* name;
-    bool (Relay::*when)(Doc&);
-    void (Relay::*then)(Doc&);
+    bool (Relay::*when)(Subject&);
+    void (Relay::*then)(Subject&);
   };
   using Grade = std::tuple<int, double, std::uint64_t>;
 
@@ -316,6 +316,7 @@
       route.hinted_at = now_;
     }
     route.ended.add(now_, 1);
+    if (got.ending == Ending::not_connected) unconnected_.add(now_, 1);
     if (got.took > slow_call) route.slow.add(now_, 1);
     bool stale = call.sent < route.opened_at;
     if (got.ending == Ending::answered) {
@@ -685,11 +686,11 @@
     return due;
   }
 
-  static constexpr RouteRule route_rules[] = {
+  static constexpr Rule<Route> route_rules[] = {
       {"five failures in a row open", &Relay::fails_in_row, &Relay::open},
       {"one trial after the pause", &Relay::trial_is_due, &Relay::allow_trial},
   };
-  static constexpr DocRule doc_rules[] = {
+  static constexpr Rule<Doc> doc_rules[] = {
       {"no time left", &Relay::out_of_time, &Relay::end},
       {"transmissions spent", &Relay::is_spent, &Relay::end},
       {"may go", &Relay::can_go, &Relay::transmit},
@@ -717,7 +718,8 @@
   std::map<DestinationId, int> ready_, harmless_;  // documents that could go now; those that may run again
   bool short_ = false;                             // of slots
   Decided done_;
-  Fading idle_breaks_{30000};
+  Fading idle_breaks_{30000}, unconnected_{30000};
+  std::set<EndpointId> used_;  // calls there ended this turn
   Millis idle_limit_ = never;
   const Route* idle_broken_ = nullptr;
 };
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -173,7 +173,7 @@
           pending_.emplace(now_ + set_.tick, o);
           break;
         }
-    for (EndpointId e : done.closed) used_.erase(e);
+    for (EndpointId e : done.closed) used_.erase(e), closed_[DocId(std::uint64_t(e))] = now_;
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
   }
@@ -275,6 +275,7 @@
     } else if (what == "answered") ends(answered_);
     else if (what == "rejected") ends(rejected_);
     else if (what == "abandoned") ends(abandoned_);
+    else if (what == "closed") ends(closed_);
     else if (what == "log" || what == "nolog") {
       std::string wanted = text.substr(text.find("log ") + 4);
       for (const auto& line : logs_) count += line.find(wanted) != std::string::npos;
@@ -302,7 +303,7 @@
   std::vector<DocId> order_;
   std::multimap<Millis, Outcome> pending_;
   std::vector<Sent> sent_;
-  std::map<DocId, Millis> answered_, rejected_, abandoned_;
+  std::map<DocId, Millis> answered_, rejected_, abandoned_, closed_;
   std::vector<std::string> logs_;
 };
 
