Pace as credit with a floor, and count trials and failures over all relays

Changes: pace kept as credit that grows with what is known now, not fixed at the last call; a floor of one call a second or a quarter of the limit; after a refusal the ladder varies by all of itself; five failures and one trial a pause counted over all relays; cold pace after two refusals without a wait; after a long told wait the first call is drawn by chance.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -58,9 +58,10 @@
   Mode mode = Mode::closed;
   int failures_in_row = 0, refused_in_row = 0, follow_left = 0, calls_out = 0;
   Millis opened_at = -never, trial_at = 0, failing_since = never, cold_since = -never;
-  double rate_before = 0, own_pace = 0, patience = 1;
-  Millis paced_at = -never, next_call = 0;
-  Fading calls{8000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{8000}, timed{8000};
+  double rate_before = 0, own_pace = 0, patience = 1, credit = 1;
+  Millis paced_at = -never, credited_at = 0;
+  Fading calls{15000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{8000},
+      timed{8000};
 };
 
 struct Endpoint {
@@ -92,9 +93,9 @@
   std::uint64_t turn_taken = 0;
   Millis agreed_by = 0, expiry = 0, not_before = 0;
   int tries = 0, failures = 0, out = 0;
-  bool may_have_run = false;
   Millis risked_at = never;  // the send of the first transmission that may have run
   HallId risked_hall{};
+  bool may_have_run() const { return risked_at < never; }
 };
 
 // Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
@@ -143,14 +144,13 @@
         endpoint.route = &routes_[{kind.routes_apart, name}];
         endpoint.route->name = name;
         endpoint.route->bundle_max = kind.bundle_max;
-        endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint));
-        ranking_[entry.destination].push_back(&endpoint);
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
-        std::sort(ranking_[entry.destination].begin(), ranking_[entry.destination].end(),
-                  [&](const Endpoint* a, const Endpoint* b) {
-                    return std::tuple(a->hall != set_.hall, a->rank) <
-                           std::tuple(b->hall != set_.hall, b->rank);
-                  });
+        endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint)) >> 1;
+        if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
+        auto& ranked = ranking_[entry.destination];
+        ranked.push_back(&endpoint);
+        std::sort(ranked.begin(), ranked.end(),
+                  [](const Endpoint* a, const Endpoint* b) { return a->rank < b->rank; });
       }
       endpoint.standing = entry.standing;
       if (set_.limits_listed && endpoint.route->hinted_at < 0) endpoint.route->limit = entry.listed_rate;
@@ -213,32 +213,33 @@
     if (holder != docs_.end()) {
       Doc& doc = holder->second;
       --doc.out;
-      if (unknown || got.ending == Ending::error) note_risk(doc, call);
+      if ((unknown || got.ending == Ending::error) && !doc.may_have_run())
+        doc.risked_at = call.sent, doc.risked_hall = call.endpoint->hall;
       if (got.over) {
         close(doc);
       } else if (got.ending == Ending::not_sent) {
         doc.not_before = now_ + set_.tick;
       } else {
-        // The ladder: base x 2^(try-1), varied. A told wait takes its place.
-        if (got.wait <= 0) ++doc.failures;
-        Millis pause = ladder_base * std::exp2(std::min(doc.failures, 16) - 1);
-        doc.not_before = got.wait > 0 ? now_ : now_ + varied(pause);
+        // The ladder: base x 2^(try-1), varied; by all of itself from the end of a told wait after a refusal,
+        // so that what was refused together, also by relays unseen, does not come again together.
+        Millis pause = ladder_base * std::exp2(std::min(++doc.failures, 16) - 1);
+        bool refused = got.ending == Ending::refused;
+        doc.not_before = now_ + (refused ? drawn(0, 2) * pause : varied(pause));
+        if (got.wait > 0 && !choose(doc, set_.slots + 1)) doc.not_before += got.wait;
       }
     }
     if (call.docs == 0) calls_.erase(call_number);
   }
 
   void withdraw(DocId id) {
-    auto found = docs_.find(id);
-    if (found != docs_.end()) close(found->second);
+    if (auto found = docs_.find(id); found != docs_.end()) close(found->second);
   }
 
   Decided decide() {
     for (bool fired = true; fired;) {
       fired = false;
       // A call out far longer than usual counts as failed at that moment: a hung destination is known before
-      // its calls time out, and binding documents, which have no time-out of their own, do not fill the slots
-      // behind it.
+      // its calls time out, and binding documents, which have no time-out, do not fill the slots behind it.
       for (auto& [number, call] : calls_)
         if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) {
           call.overdue = true;
@@ -247,15 +248,11 @@
       for (const Rule<Route>& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
-      short_ = calls_out_ >= 0.8 * set_.slots;
-      ready_.clear(), harmless_.clear();
-      for (auto& [id, doc] : docs_)
-        if (is_ready(doc)) {
-          ++ready_[doc.destination];
-          if (doc.type->repeat != Repeat::binding) ++harmless_[doc.destination];
-        }
-      waiting_.clear();
-      for (auto& [id, doc] : docs_) waiting_.push_back({urgency(doc), &doc});
+      harmless_.clear(), waiting_.clear();
+      for (auto& [id, doc] : docs_) {
+        if (is_ready(doc) && doc.type->repeat != Repeat::binding) ++harmless_[doc.destination];
+        waiting_.push_back({urgency(doc), &doc});
+      }
       std::sort(waiting_.begin(), waiting_.end());
       for (const Rule<Doc>& rule : doc_rules)
         for (auto& [grade, doc] : waiting_)
@@ -265,8 +262,8 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Where connections fail, endpoints may take only so many, idle ones counted. What this relay would hardly
-    // use again before its idle time equals many calls is closed at once.
+    // Where connections fail, endpoints may take only so many, idle ones counted. What this relay would
+    // hardly use again before its idle time equals many calls is closed at once.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
       if (e.calls_out == 0 && unconnected_.read(now_) > 0.3 &&
@@ -319,6 +316,8 @@
     if (got.ending == Ending::not_connected) unconnected_.add(now_, 1);
     if (got.took > slow_call) route.slow.add(now_, 1);
     bool stale = call.sent < route.opened_at;
+    if (route.failures_in_row == 1 && call.sent > route.failing_since)
+      (got.ending == Ending::answered ? again_good_ : again_bad_).add(now_, 1);
     if (got.ending == Ending::answered) {
       route.took.add(now_, got.took);
       route.timed.add(now_, 1);
@@ -340,7 +339,7 @@
       return;
     }
     if (got.ending == Ending::refused) {
-      route.refused_in_row += !spent(got.hints);
+      route.refused_in_row += !spent(got.hints) && got.wait <= 0;
       if (now_ > route.paced_at + 300) {
         double least = route.limit > 0 ? 0.3 * route.limit / set_.relays : 0.3;
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
@@ -392,7 +391,9 @@
       if (route.failing_since >= never) route.rate_before = route.calls.per_second(now_);
       log(route, "shut, cold after", route.told_until - now_, route.rate_before);
     }
-    route.cold_since = std::max(route.cold_since, route.told_until);
+    // All relays were told the same end; they do not call in the same instant.
+    route.cold_since = route.credited_at = route.told_until;
+    route.credit = drawn(0, 1);
   }
 
   void succeeded(Route& route) {
@@ -421,15 +422,8 @@
     if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
     route.mode = Mode::open;
     route.opened_at = now_;
-    route.trial_at = now_ + varied(trial_pause);
-  }
-
-  void note_risk(Doc& doc, const Call& call) {
-    if (!doc.may_have_run) {
-      doc.risked_at = call.sent;
-      doc.risked_hall = call.endpoint->hall;
-    }
-    doc.may_have_run = true;
+    Millis own = 1000 / cold_pace(route, 0);
+    route.trial_at = now_ + std::max(varied(trial_pause), own > trial_pause ? drawn(0, 2) * own : 0);
   }
 
   void close(Doc& doc) {
@@ -440,11 +434,11 @@
   // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
   bool may_go_again(const Doc& doc, Millis when) const {
     if (doc.out > 0) return false;
-    if (!doc.may_have_run || doc.type->repeat == Repeat::replayable) return true;
+    if (!doc.may_have_run() || doc.type->repeat == Repeat::replayable) return true;
     return doc.type->repeat == Repeat::numbered && when < doc.risked_at + doc.type->key_window - margin();
   }
   bool may_run_at(const Doc& doc, const Endpoint& endpoint) const {
-    bool elsewhere = doc.type->repeat == Repeat::numbered && doc.may_have_run &&
+    bool elsewhere = doc.type->repeat == Repeat::numbered && doc.may_have_run() &&
                      doc.type->key_group == KeyGroup::hall && endpoint.hall != doc.risked_hall;
     return may_go_again(doc, now_) && !elsewhere;
   }
@@ -453,7 +447,7 @@
   bool may_reject(const Doc& doc) const {
     if (doc.type->repeat == Repeat::replayable) return true;
     if (doc.out > 0) return false;
-    if (!doc.may_have_run) return true;
+    if (!doc.may_have_run()) return true;
     return doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere;
   }
 
@@ -494,17 +488,29 @@
       double spare = fresh ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
       double held = fresh ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
       rate = route.limit * (part * held + (1 - part) * spare);
+      if (held >= 1) rate = std::max(rate, std::min(1.0, 0.25 * route.limit));
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
-    Millis age = std::max(0.0, now_ - route.cold_since);
-    if (age < set_.warm_within) {
-      double full = std::max(route.rate_before, route.limit * part);
-      double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
-      rate = std::min(rate, std::max(0.4, full * ramp * std::min(1.6, 0.85 * set_.fall_multiple)));
-    }
+    if (is_cold(route)) rate = std::min(rate, cold_pace(route, std::max(0.0, now_ - route.cold_since)));
+    else if (route.refused_in_row > 1) rate = std::min(rate, cold_pace(route, 0));
     return rate;
   }
 
+  // What a cold destination bears from this relay, in calls a second at this age of its return.
+  double cold_pace(const Route& route, Millis age) const {
+    double full = std::max(route.rate_before, route.limit / set_.relays);
+    double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
+    // At least one trial in a pause from all relays together.
+    return std::max(full * ramp * std::min(1.6, 0.85 * set_.fall_multiple), 1000 / trial_pause / set_.relays);
+  }
+
+  // Calls that the pace allows now; a call takes one.
+  double credit(Route& route) {
+    route.credit = std::min(1.0, route.credit + pace(route) * std::max(0.0, now_ - route.credited_at) / 1000);
+    route.credited_at = std::max(route.credited_at, now_);
+    return route.credit;
+  }
+
   // Rules 3, 4 and 6 and the caps: when a call may go on this route; never means that an event must come
   // first.
   Millis free_at(Route& route) {
@@ -513,8 +519,8 @@
     if (route.mode == Mode::trial && route.calls_out > 0) return never;
     if (route.mode == Mode::following && route.calls_out >= 2) return never;
     if (route.calls_out >= cap(route)) return never;
-    Millis ahead = is_cold(route) ? 0 : 300;
-    return route.next_call <= now_ + ahead ? now_ : route.next_call - ahead;
+    double rate = pace(route), lacks = 1 - (is_cold(route) ? 0 : 0.3 * rate) - credit(route);
+    return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
 
   bool joins(const Endpoint& endpoint) {
@@ -558,23 +564,27 @@
     auto ranked = ranking_.find(doc.destination);
     if (ranked != ranking_.end() && !ranked->second.empty()) lead = usual(*ranked->second.front()->route);
     if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
-    // While slots are short, the calls that deliver most go first: the fullest bundles.
-    if (now_ + lead <= doc.agreed_by) {
-      if (!short_) return {0, doc.agreed_by, doc.turn_taken};
-      Route& route = *ranked->second.front()->route;
-      return {0, -std::min(ready_[doc.destination], route.bundle_max), doc.turn_taken};
-    }
+    if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
     double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
     if (set_.value_halves && std::exp2(-late) <= doc.type->late_value) return {2, doc.expiry, doc.turn_taken};
     return {1, -doc.agreed_by, doc.turn_taken};
   }
 
+  // Five failures in a row, counted over all relays: one that calls seldom would not see five before the
+  // outage is over. While single failures are mostly followed by answers, its own five.
+  int to_open(Route& route) {
+    if (again_good_.read(now_) >= again_bad_.read(now_)) return failures_to_open;
+    double soon = 10 * std::max(route.rate_before, route.calls.per_second(now_));
+    soon = std::clamp(std::max(soon, 1.0 * failures_to_open / set_.relays), 1.0, 1.0 * failures_to_open);
+    return static_cast<int>(std::ceil(soon));
+  }
+
   // The rules: each a condition and an effect.
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
 
   bool fails_in_row(Route& route) {
-    return route.mode == Mode::closed && route.failures_in_row >= failures_to_open;
+    return route.mode == Mode::closed && route.failures_in_row >= to_open(route);
   }
 
   // Rule 1: a final answer before the client's time is up.
@@ -593,9 +603,8 @@
     close(doc);
   }
 
-  // A full room turns away fresh documents at the door, as when a destination with much traffic is down for
-  // long. A tenth of it is kept free: documents that have lost all they can lose make way, those nearest to
-  // their expiry first.
+  // A full room turns away fresh documents at the door, as when a destination with much traffic is down. A
+  // tenth is kept free: documents that have lost all they can lose make way, those nearest to expiry first.
   bool crowds_out(Doc& doc) {
     return set_.room > 0 && static_cast<double>(docs_.size()) > 0.9 * set_.room && doc.out == 0 &&
            may_reject(doc) && std::get<0>(urgency(doc)) >= 2;
@@ -620,9 +629,9 @@
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1);
       route.recent.add(now_, 1);
-      route.next_call = std::max(now_, route.next_call) + 1000 / pace(route);
+      route.credit = credit(route) - 1;
     } else if (is_cold(route)) {
-      route.next_call += 120 / pace(route);
+      route.credit -= 0.12;
     }
     auto number = bundles_[endpoint.id];
     ++calls_[number].docs;
@@ -632,9 +641,8 @@
     ++doc.tries, ++doc.out;
   }
 
-  // Slots taken by calls far overdue, over several hung destinations at once, starve the healthy ones. While
-  // a document waits for a slot only, the call furthest overdue is called off; a binding document is lost
-  // with it.
+  // Slots taken by calls far overdue at hung destinations starve the healthy ones. While a document waits for
+  // a slot only, the call furthest overdue is called off; a binding document is lost with it.
   bool wants_slot(Doc& doc) {
     if (!set_.may_call_off || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
     return std::get<0>(urgency(doc)) < 2 && could_go(doc, set_.slots + 1) && furthest_overdue() != nullptr;
@@ -664,24 +672,18 @@
 
   Millis next_due() {
     Millis due = follow_at_;
+    auto wake_at = [&](Millis when) { due = when > now_ ? std::min(due, when) : due; };
     for (auto& [number, call] : calls_)
-      if (!call.overdue) due = std::min(due, std::max(now_, call.sent + overdue_after(*call.route)));
+      if (!call.overdue) wake_at(call.sent + overdue_after(*call.route));
     for (auto& [id, doc] : docs_) {
-      due = std::min(due, doc.expiry - margin());
+      wake_at(doc.expiry - margin());
       if (doc.out > 0) continue;
-      if (doc.may_have_run && doc.type->repeat == Repeat::numbered)
-        due = std::min(due, std::max(now_, doc.risked_at + doc.type->key_window - margin()));
-      if (doc.not_before > now_) {
-        due = std::min(due, doc.not_before);
-        continue;
-      }
-      if (doc.ordered && lanes_[doc.key].rests_until > now_) due = std::min(due, lanes_[doc.key].rests_until);
+      wake_at(doc.risked_at + doc.type->key_window - margin());
+      wake_at(doc.not_before);
+      if (doc.not_before > now_) continue;
+      if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
       for (Endpoint* e : ranking_[doc.destination])
-        if (e->standing == Standing::listed) {
-          Millis at = free_at(*e->route);
-          if (at > now_) due = std::min(due, at);
-          if (e->room > 0 && e->room_met_at + 5000 > now_) due = std::min(due, e->room_met_at + 5000);
-        }
+        if (e->standing == Standing::listed) wake_at(free_at(*e->route)), wake_at(e->room_met_at + 5000);
     }
     return due;
   }
@@ -715,11 +717,11 @@
   std::map<EndpointId, std::uint64_t> bundles_;  // the call opened this turn, by endpoint
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
-  std::map<DestinationId, int> ready_, harmless_;  // documents that could go now; those that may run again
-  bool short_ = false;                             // of slots
+  std::map<DestinationId, int> harmless_;  // documents that could go now and may run again
   Decided done_;
   Fading idle_breaks_{30000}, unconnected_{30000};
-  std::set<EndpointId> used_;  // calls there ended this turn
+  Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
+  std::set<EndpointId> used_;                    // calls there ended this turn
   Millis idle_limit_ = never;
   const Route* idle_broken_ = nullptr;
 };
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -113,18 +113,15 @@
     }
     if (!open_) decision_->begin(now_), open_ = true;
     const std::string& verb = plain.at(0);
+    auto of = [&](const char* name, double absent = 0) { return number(words, name, absent); };
     if (plain.size() > 2) {
-      auto of = [&](const char* name, double absent = 0) { return number(words, name, absent); };
       manners_[EndpointId(tag(plain.at(1)))] = {plain.at(2),    of("after", 100), of("wait"), of("every", 1),
                                                 of("share", 1), of("limit"),      of("idle")};
     }
     if (verb == "list" || verb == "drain" || verb == "gone") {
-      EndpointEntry e{EndpointId(tag(plain.at(1))),
-                      DestinationId(number(words, "for", 1)),
-                      KindId(number(words, "kind", 0)),
-                      HallId(number(words, "hall", 0)),
-                      Standing::listed,
-                      number(words, "rate", 0)};
+      EndpointEntry e;
+      e.endpoint = EndpointId(tag(plain.at(1))), e.destination = DestinationId(of("for", 1));
+      e.kind = KindId(of("kind")), e.hall = HallId(of("hall")), e.listed_rate = of("rate");
       e.standing = verb == "list" ? Standing::listed : verb == "drain" ? Standing::draining : Standing::gone;
       told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + 2000;
       owner_[e.endpoint] = set_.kinds.at(std::size_t(e.kind)).routes_apart ? 1000 + tag(plain.at(1))
@@ -133,13 +130,9 @@
     } else if (verb == "take") {
       for (int i = 0; i < int(number(words, "times", 1)); ++i) {
         Known k;
-        k.doc = {DocId(tag(plain.at(1)) + std::uint64_t(i)),
-                 DocTypeId(number(words, "type", 0)),
-                 TenantId(0),
-                 DestinationId(number(words, "for", 1)),
-                 words.count("key") > 0,
-                 KeyId(number(words, "key", 0)),
-                 0};
+        k.doc.id = DocId(tag(plain.at(1)) + std::uint64_t(i)), k.doc.type = DocTypeId(of("type"));
+        k.doc.destination = DestinationId(of("for", 1)), k.doc.key = KeyId(of("key"));
+        k.doc.has_key = words.count("key") > 0;
         k.doc.left = number(words, "left", set_.doc_types.at(std::size_t(k.doc.type)).lifetime);
         k.expiry = now_ + k.doc.left;
         known_[k.doc.id] = k;
@@ -173,7 +166,7 @@
           pending_.emplace(now_ + set_.tick, o);
           break;
         }
-    for (EndpointId e : done.closed) used_.erase(e), closed_[DocId(std::uint64_t(e))] = now_;
+    for (EndpointId e : done.closed) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
   }
@@ -187,7 +180,7 @@
       EXPECT_TRUE(!k.may_have_run && k.out == 0) << "rule 2: rejected, yet it may have run";
     }
     k.ended = true;
-    (rejected ? rejected_ : abandoned_)[id] = now_;
+    ended_[rejected ? "rejected" : "abandoned"][id] = now_;
   }
 
   void send(const Transmit& t) {
@@ -244,7 +237,7 @@
         Known& k = known_.at(o.doc);
         --k.out;
         o.over = k.ended || o.ending == Ending::answered;
-        if (o.ending == Ending::answered && !k.ended) answered_[o.doc] = now_;
+        if (o.ending == Ending::answered && !k.ended) ended_["answered"][o.doc] = now_;
         k.ended = o.over;
         if (o.ending != Ending::refused && o.ending != Ending::not_connected) k.may_have_run = true;
         if (o.ending == Ending::timed_out || o.ending == Ending::broken)
@@ -272,10 +265,7 @@
             (!words.count("endpoint") || EndpointId(tag(words.at("endpoint"))) == s.endpoint))
           ++count, calls.emplace(s.at, s.endpoint);
       if (what == "calls") count = double(calls.size());
-    } else if (what == "answered") ends(answered_);
-    else if (what == "rejected") ends(rejected_);
-    else if (what == "abandoned") ends(abandoned_);
-    else if (what == "closed") ends(closed_);
+    } else if (ended_.count(what)) ends(ended_[what]);
     else if (what == "log" || what == "nolog") {
       std::string wanted = text.substr(text.find("log ") + 4);
       for (const auto& line : logs_) count += line.find(wanted) != std::string::npos;
@@ -303,7 +293,8 @@
   std::vector<DocId> order_;
   std::multimap<Millis, Outcome> pending_;
   std::vector<Sent> sent_;
-  std::map<DocId, Millis> answered_, rejected_, abandoned_, closed_;
+  std::map<std::string, std::map<DocId, Millis>> ended_{
+      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}};
   std::vector<std::string> logs_;
 };
 
