--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -14,48 +14,8 @@
 constexpr std::int64_t exact_end = std::int64_t{1} << 53;
 constexpr std::int64_t longest_timer = 71LL * 60 * 1000 * 1000;
 
-std::string quoted(std::string_view text) { return "'" + std::string(text.substr(0, 60)) + "'"; }
-
-std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high) {
-  std::int64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error == std::errc::result_out_of_range)
-    throw Fault(std::string(what) + " is out of range: " + quoted(text));
-  if (error != std::errc{} || end != text.data() + text.size())
-    throw Fault(std::string(what) + " is not a whole number: " + quoted(text));
-  if (value < low || value > high) throw Fault(std::string(what) + " is out of range: " + quoted(text));
-  return value;
-}
-
-double to_number(std::string_view text, const char* what) {
-  double value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
-    throw Fault(std::string(what) + " is not a number: " + quoted(text));
-  return value;
-}
-
-bool to_flag(std::string_view text, const char* what) {
-  if (text == "1" || text == "true") return true;
-  if (text == "0" || text == "false" || text == "-") return false;
-  throw Fault(std::string(what) + " is neither 1 nor 0: " + quoted(text));
-}
-
 Millis to_millis(std::int64_t micros) { return static_cast<Millis>(micros) / 1000.0; }
 
-template <typename Value>
-struct Word {
-  std::string_view name;
-  Value value;
-};
-
-template <typename Value, std::size_t count>
-Value one_of(const std::array<Word<Value>, count>& words, std::string_view text, const char* what) {
-  for (const auto& word : words)
-    if (word.name == text) return word.value;
-  throw Fault("unknown " + std::string(what) + ": " + quoted(text));
-}
-
 constexpr std::array<Word<Ending>, 8> endings{{{"delivered", Ending::answered},
                                                {"app_error", Ending::error},
                                                {"shed", Ending::refused},
@@ -66,59 +26,6 @@
                                                {"unused", Ending::not_sent}}};
 constexpr std::array<Word<Standing>, 3> standings{
     {{"ready", Standing::listed}, {"draining", Standing::draining}, {"gone", Standing::gone}}};
-constexpr std::array<Word<Repeat>, 3> repeats{
-    {{"safe", Repeat::replayable}, {"keyed", Repeat::numbered}, {"unsafe", Repeat::binding}}};
-
-// The settings as path=value pairs, looked up by path; paths that nobody asks for are skipped.
-class Pairs {
- public:
-  explicit Pairs(std::string_view text) {
-    while (!text.empty()) {
-      auto space = text.find(' ');
-      auto pair = text.substr(0, space);
-      text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
-      auto equals = pair.find('=');
-      if (equals == std::string_view::npos) {
-        if (pair.empty() || pair == "-") continue;
-        throw Fault("a setting has no '=': " + quoted(pair));
-      }
-      values_[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
-    }
-  }
-  std::string_view text(const std::string& path) const {
-    auto found = values_.find(path);
-    return found == values_.end() || found->second == "-" ? std::string_view{}
-                                                          : std::string_view(found->second);
-  }
-  double number(const std::string& path, double absent = 0) const {
-    auto value = text(path);
-    return value.empty() ? absent : to_number(value, path.c_str());
-  }
-  int count(const std::string& path, int absent = 0) const {
-    auto value = text(path);
-    return value.empty()
-               ? absent
-               : static_cast<int>(to_integer(value, path.c_str(), 0, std::numeric_limits<int>::max()));
-  }
-  Millis time(const std::string& path) const { return number(path) / 1000.0; }
-  bool flag(const std::string& path) const {
-    auto value = text(path);
-    return !value.empty() && to_flag(value, path.c_str());
-  }
-  std::vector<std::string_view> list(const std::string& path) const {
-    std::vector<std::string_view> parts;
-    auto rest = text(path);
-    while (!rest.empty()) {
-      auto comma = rest.find(',');
-      parts.push_back(rest.substr(0, comma));
-      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
-    }
-    return parts;
-  }
-
- private:
-  std::map<std::string, std::string> values_;
-};
 
 }  // namespace
 
@@ -146,53 +53,6 @@
   if (!rest_.empty()) throw Fault("more on the line than expected: " + quoted(rest_));
 }
 
-Settings decode_settings(std::string_view text) {
-  Pairs pairs(text);
-  Settings settings;
-  settings.relays = std::max(1, pairs.count("balancers", 1));
-  settings.hall = HallId(pairs.count("az"));
-  settings.slots = pairs.count("specifics.slots", 1);
-  settings.room = pairs.count("limits.openCap");
-  settings.max_transmissions = pairs.count("limits.maxAttempts", 1);
-  settings.list_on_request = pairs.text("registryMode") == "on_request";
-  settings.may_call_off = pairs.flag("limits.cancel");
-  settings.value_halves = pairs.text("specifics.decay") == "halving";
-  auto weights = pairs.text("weightKind");
-  settings.limits_listed = weights == "nominal" || weights == "rough";
-  settings.tick = pairs.time("tickUs");
-  settings.fall_multiple = pairs.number("rules.fallMultiple", 1);
-  settings.start_capacity = pairs.number("rules.startCapacity", 1);
-  settings.warm_within = pairs.time("rules.warmWithinUs");
-  settings.order_rest = pairs.time("rules.orderSettleUs");
-  if (pairs.flag("limits.retryAfter")) settings.reject_wait_max = pairs.time("limits.maxRetryAfterUs");
-  for (int i = 0; i < pairs.count("classes.count"); ++i) {
-    auto path = "classes." + std::to_string(i) + ".";
-    DocType type;
-    type.agreed_time = pairs.time(path + "goalTimeUs");
-    type.lifetime = pairs.time(path + "deadlineUs");
-    type.late_value = pairs.number(path + "lateWorth");
-    auto repeat = pairs.text(path + "repeat");
-    if (!repeat.empty()) type.repeat = one_of(repeats, repeat, "repeat");
-    type.key_group = pairs.text(path + "keyScope") == "all" ? KeyGroup::everywhere : KeyGroup::hall;
-    type.key_window = pairs.time(path + "windowUs");
-    type.in_order = pairs.flag(path + "inOrder");
-    settings.doc_types.push_back(type);
-  }
-  auto apart = pairs.list("specifics.routesApart");
-  auto bundles = pairs.list("specifics.bundleMax");
-  auto kinds = std::max({std::size_t{1}, pairs.list("skus").size(), apart.size(), bundles.size()});
-  for (std::size_t i = 0; i < kinds; ++i) {
-    Kind kind;
-    if (i < apart.size()) kind.routes_apart = to_flag(apart[i], "specifics.routesApart");
-    if (i < bundles.size())
-      kind.bundle_max = static_cast<int>(to_integer(bundles[i], "specifics.bundleMax", 1, id_end));
-    settings.kinds.push_back(kind);
-  }
-  for (int i = 0; i < pairs.count("orgs.count"); ++i)
-    settings.tenant_rates.push_back(pairs.number("orgs." + std::to_string(i) + ".allowancePerS"));
-  return settings;
-}
-
 bool Host::next_line() {
   if (!std::getline(in_, line_)) return false;
   ++line_number_;
@@ -286,7 +146,7 @@
     one_of(endings, fields.word("ending"), "ending");
     fields.integer("delaySeenUs", 0, exact_end);
     endpoint_id(fields.word("endpoint"));
-    if (!fields.at_end()) hints_of(fields.word("healthInfo"));
+    if (!fields.at_end()) hints_of(fields.word("healthInfo"), ':');
   } else if (name == "opened") {
     fields.integer("opId", 0, id_end - 1);
     fields.integer("trial", 0, id_end);
@@ -310,7 +170,7 @@
 void Host::power_on(Fields& fields, std::int64_t clock) {
   auto relay = static_cast<int>(fields.integer("instance", 0, std::numeric_limits<int>::max()));
   auto salt = static_cast<std::uint64_t>(fields.integer("salt", 0, std::numeric_limits<std::int64_t>::max()));
-  auto settings = decode_settings(fields.text());
+  auto settings = decode_settings(Pairs(fields.text()));
   instances_.erase(relay);
   auto kinds = static_cast<int>(settings.kinds.size());
   auto doc_types = static_cast<int>(settings.doc_types.size());
@@ -372,38 +232,18 @@
   outcome.took = to_millis(fields.integer("delaySeenUs", 0, exact_end));
   outcome.ending = one_of(endings, fields.word("ending"), "ending");
   outcome.endpoint = endpoint_id(fields.word("endpoint"));
-  outcome.hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"));
+  outcome.hints = hints_of(fields.at_end() ? std::string_view{} : fields.word("healthInfo"), ':');
   if (outcome.ending == Ending::refused) outcome.wait = note;
   guarded(instance, [&](Decision& d) { d.outcome(outcome); });
 }
 
 EndpointId Host::endpoint_id(std::string_view address) {
-  // FNV-1a over the address text: the same id in every process, whatever came first.
-  std::uint64_t hash = 14695981039346656037ULL;
-  for (unsigned char c : address) hash = (hash ^ c) * 1099511628211ULL;
+  std::uint64_t hash = hash_of(address);
   auto [place, fresh] = addresses_.try_emplace(hash, address);
   if (!fresh && place->second != address) throw Fault("two addresses share an id: " + quoted(address));
   return EndpointId(hash);
 }
 
-Hints Host::hints_of(std::string_view text) {
-  Hints hints;
-  if (text == "-") return hints;
-  while (!text.empty()) {
-    auto comma = text.find(',');
-    auto pair = text.substr(0, comma);
-    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
-    auto colon = pair.find(':');
-    if (colon == std::string_view::npos) throw Fault("a report value has no ':': " + quoted(pair));
-    auto name = pair.substr(0, colon);
-    auto value = to_number(pair.substr(colon + 1), "report value");
-    if (name == "x0") hints.left_share = value;
-    if (name == "x1") hints.limit = value;
-    hints.told = hints.told || name == "x1";
-  }
-  return hints;
-}
-
 void Host::answer(int number, Instance& instance, std::int64_t clock) {
   Decided decided;
   guarded(instance, [&](Decision& d) { decided = d.decide(); });
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -6,21 +6,17 @@
 #include <map>
 #include <ostream>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "decision/decision.h"
+#include "settings/settings.h"
 
 namespace rockcrank::wire {
 
-class Fault : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
+using rockcrank::Fault;
 
 // One line, taken apart field by field.
 class Fields {
@@ -38,8 +34,6 @@
   std::string_view rest_;
 };
 
-Settings decode_settings(std::string_view pairs);
-
 class Host {
  public:
   Host(std::istream& in, std::ostream& out) : in_(in), out_(out) {}
@@ -64,7 +58,6 @@
   void answer(int number, Instance& instance, std::int64_t clock);
   Instance& instance_of(Fields& fields, std::int64_t clock);
   EndpointId endpoint_id(std::string_view address);
-  Hints hints_of(std::string_view text);
   template <typename Call>
   void guarded(Instance& instance, Call call);
 
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -139,11 +139,9 @@
         const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
         auto whole = static_cast<std::uint64_t>(entry.destination);
         auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint) : whole;
-        endpoint.id = entry.endpoint;
-        endpoint.hall = entry.hall;
+        endpoint.id = entry.endpoint, endpoint.hall = entry.hall;
         endpoint.route = &routes_[{kind.routes_apart, name}];
-        endpoint.route->name = name;
-        endpoint.route->bundle_max = kind.bundle_max;
+        endpoint.route->name = name, endpoint.route->bundle_max = kind.bundle_max;
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint)) >> 1;
         if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
@@ -161,18 +159,22 @@
 
   void take(const Document& given) {
     Doc& doc = docs_[given.id];
-    doc.id = given.id;
+    doc.id = given.id, doc.destination = given.destination, doc.expiry = now_ + given.left;
     doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
-    doc.destination = given.destination;
-    doc.expiry = now_ + given.left;
     // A document handed in with less left than its agreed time is in a hurry, not late.
-    doc.agreed_by = given.left < doc.type->agreed_time
+    doc.agreed_by = given.left < doc.type->agreed_time && given.transmissions == 0
                         ? doc.expiry - margin()
                         : doc.expiry - doc.type->lifetime + doc.type->agreed_time;
     doc.turn_taken = ++taken_;
     doc.ordered = doc.type->in_order && given.has_key;
     doc.key = given.key;
     if (doc.ordered) lanes_[doc.key].waiting.insert(doc.turn_taken);
+    // Recovered after a restart: a transmission that was out may have run, and its key rests.
+    doc.tries = given.transmissions;
+    if (given.may_have_run) {
+      doc.risked_at = now_ - given.risked_ago, doc.risked_hall = given.risked_hall;
+      if (doc.ordered) lanes_[doc.key].rests_until = now_ + set_.order_rest;
+    }
     auto tenant = static_cast<std::size_t>(given.tenant);
     if (tenant < shares_.size()) {
       shares_[tenant].first.add(now_, 1);
@@ -222,9 +224,8 @@
       } else {
         // The ladder: base x 2^(try-1), varied; by all of itself from the end of a told wait after a refusal,
         // so that what was refused together, also by relays unseen, does not come again together.
-        Millis pause = ladder_base * std::exp2(std::min(++doc.failures, 16) - 1);
-        bool refused = got.ending == Ending::refused;
-        doc.not_before = now_ + (refused ? drawn(0, 2) * pause : varied(pause));
+        Millis pause = ladder(++doc.failures);
+        doc.not_before = now_ + (got.ending == Ending::refused ? drawn(0, 2) * pause : varied(pause));
         if (got.wait > 0 && !choose(doc, set_.slots + 1)) doc.not_before += got.wait;
       }
     }
@@ -235,6 +236,11 @@
     if (auto found = docs_.find(id); found != docs_.end()) close(found->second);
   }
 
+  void leave(Millis within) { leave_at_ = now_ + within; }
+  bool has_room() const { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
+  bool may_still_go(EndpointId id) const { return now_ >= endpoints_.at(id).route->told_until; }
+  Millis pause_after(int failures) { return varied(ladder(failures)); }
+
   Decided decide() {
     for (bool fired = true; fired;) {
       fired = false;
@@ -300,6 +306,7 @@
     done_.log.push_back(line);
   }
 
+  static Millis ladder(int failures) { return ladder_base * std::exp2(std::min(failures, 16) - 1); }
   Millis margin() const { return 2 * set_.tick; }
   bool is_cold(const Route& route) const { return now_ < route.cold_since + set_.warm_within; }
 
@@ -319,23 +326,19 @@
     if (route.failures_in_row == 1 && call.sent > route.failing_since)
       (got.ending == Ending::answered ? again_good_ : again_bad_).add(now_, 1);
     if (got.ending == Ending::answered) {
-      route.took.add(now_, got.took);
-      route.timed.add(now_, 1);
-      took_.add(now_, got.took);
-      timed_.add(now_, 1);
+      route.took.add(now_, got.took), route.timed.add(now_, 1);
+      took_.add(now_, got.took), timed_.add(now_, 1);
       route.good.add(now_, 1);
       if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
-      endpoint.failures_in_row = 0;
-      endpoint.answered_at = now_;
+      endpoint.failures_in_row = 0, endpoint.answered_at = now_;
       if (!stale) succeeded(route);
       return;
     }
     // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
     if (got.ending == Ending::not_connected && call.sent - endpoint.answered_at < 2000 &&
         endpoint.calls_out > 1) {
-      endpoint.room = std::max(1, endpoint.calls_out - 1);
-      endpoint.room_met_at = now_;
+      endpoint.room = std::max(1, endpoint.calls_out - 1), endpoint.room_met_at = now_;
       return;
     }
     if (got.ending == Ending::refused) {
@@ -392,8 +395,7 @@
       log(route, "shut, cold after", route.told_until - now_, route.rate_before);
     }
     // All relays were told the same end; they do not call in the same instant.
-    route.cold_since = route.credited_at = route.told_until;
-    route.credit = drawn(0, 1);
+    route.cold_since = route.credited_at = route.told_until, route.credit = drawn(0, 1);
   }
 
   void succeeded(Route& route) {
@@ -409,19 +411,16 @@
     if (route.mode == Mode::closed) route.failing_since = never;
     route.failures_in_row = 0;
     if (route.mode == Mode::trial) {
-      route.mode = Mode::following;
-      route.follow_left = follow_calls;
+      route.mode = Mode::following, route.follow_left = follow_calls;
     } else if (route.mode == Mode::following && --route.follow_left <= 0) {
-      route.mode = Mode::closed;
-      route.failing_since = never;
+      route.mode = Mode::closed, route.failing_since = never;
       log(route, "breaker closed", now_ - route.opened_at, failing);
     }
   }
 
   void open(Route& route) {
     if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
-    route.mode = Mode::open;
-    route.opened_at = now_;
+    route.mode = Mode::open, route.opened_at = now_;
     Millis own = 1000 / cold_pace(route, 0);
     route.trial_at = now_ + std::max(varied(trial_pause), own > trial_pause ? drawn(0, 2) * own : 0);
   }
@@ -518,7 +517,7 @@
     if (route.mode == Mode::open) return route.trial_at;
     if (route.mode == Mode::trial && route.calls_out > 0) return never;
     if (route.mode == Mode::following && route.calls_out >= 2) return never;
-    if (route.calls_out >= cap(route)) return never;
+    if (route.calls_out >= cap(route) || now_ + 2 * usual(route) > leave_at_) return never;
     double rate = pace(route), lacks = 1 - (is_cold(route) ? 0 : 0.3 * rate) - credit(route);
     return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
@@ -627,8 +626,7 @@
       }
       calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
-      route.calls.add(now_, 1);
-      route.recent.add(now_, 1);
+      route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     } else if (is_cold(route)) {
       route.credit -= 0.12;
@@ -661,8 +659,7 @@
   }
   void call_off(Doc& doc) {
     Call* call = furthest_overdue();
-    call->called_off = true;
-    ++freed_;
+    call->called_off = true, ++freed_;
     doc.not_before = now_ + set_.tick;
     for (auto& [transmission, entry] : out_)
       if (&calls_[std::get<0>(entry)] == call)
@@ -703,7 +700,7 @@
   const Settings set_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
-  Millis now_ = 0, due_ = 0;
+  Millis now_ = 0, due_ = 0, leave_at_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
@@ -737,6 +734,10 @@
 void Decision::take(const Document& document) { relay_->take(document); }
 void Decision::outcome(const Outcome& outcome) { relay_->outcome(outcome); }
 void Decision::withdraw(DocId doc) { relay_->withdraw(doc); }
+void Decision::leave(Millis within) { relay_->leave(within); }
 Decided Decision::decide() { return relay_->decide(); }
+bool Decision::has_room() const { return relay_->has_room(); }
+bool Decision::may_still_go(EndpointId endpoint) const { return relay_->may_still_go(endpoint); }
+Millis Decision::pause_after(int failures) { return relay_->pause_after(failures); }
 
 }  // namespace rockcrank
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -79,6 +79,11 @@
   bool has_key = false;
   KeyId key{};
   Millis left = 0;
+  // Of a document recovered after a restart: what its earlier transmissions leave open.
+  int transmissions = 0;
+  bool may_have_run = false;  // one was out, or ended without proof that it never ran
+  Millis risked_ago = 0;      // since the first such was sent
+  HallId risked_hall{};
 };
 
 enum class Ending { answered, error, refused, timed_out, not_connected, broken, called_off, not_sent };
@@ -140,8 +145,13 @@
   void take(const Document& document);
   void outcome(const Outcome& outcome);
   void withdraw(DocId doc);
+  void leave(Millis within);  // the relay ends then; what it holds by then waits for its restart
   Decided decide();
 
+  bool has_room() const;                         // for one more document
+  bool may_still_go(EndpointId endpoint) const;  // a call decided on but not yet begun
+  Millis pause_after(int failures);              // before what the host itself tries again
+
  private:
   class Relay;
   std::unique_ptr<Relay> relay_;
--- /dev/null
+++ b/src/relay/clients.cpp
@@ -0,0 +1,141 @@
+#include "relay/clients.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "relay/log.h"
+#include "relay/resp.h"
+
+namespace rockcrank {
+namespace {
+
+constexpr std::size_t word_most = 65536;
+constexpr std::size_t words_most = 16;
+constexpr std::size_t unsent_most = 65536;    // a client that does not read is not read from either
+constexpr std::size_t unanswered_most = 128;  // commands of one client awaiting their answers
+
+bool is(std::string_view word, std::string_view name) {
+  return word.size() == name.size() && std::equal(word.begin(), word.end(), name.begin(), [](char a, char b) {
+           return std::toupper(static_cast<unsigned char>(a)) == b;
+         });
+}
+
+}  // namespace
+
+class Clients::Client {
+ public:
+  Client(Clients& owner, std::uint64_t number, int fd) : owner_(owner), number_(number), stream_(owner.loop_, fd) {
+    stream_.on_data = [this] { read(); };
+    stream_.on_end = [this] { owner_.ended(number_); };
+  }
+
+  void answer(std::uint64_t command, const std::string& text) {
+    if (command < first_ || command - first_ >= answers_.size()) return;
+    answers_[command - first_] = text;
+    pass_on();
+    if (!reading_ && !paused()) {
+      reading_ = true;
+      stream_.read_on(true);
+      read();
+    }
+  }
+
+  // Between requests only: one that has arrived in part is still answered.
+  void close_if_idle() {
+    if (answers_.empty() && stream_.received().empty() && stream_.unsent() == 0) owner_.ended(number_);
+  }
+
+ private:
+  bool paused() const { return answers_.size() >= unanswered_most || stream_.unsent() >= unsent_most; }
+
+  void pass_on() {
+    std::string out;
+    while (!answers_.empty() && !answers_.front().empty()) {
+      out += answers_.front();
+      answers_.pop_front();
+      ++first_;
+    }
+    if (!out.empty()) stream_.send(out);
+  }
+
+  void read() {
+    while (stream_.state() == Stream::State::up && !broken_) {
+      if (paused()) {
+        reading_ = false;
+        return stream_.read_on(false);
+      }
+      auto command = read_command(stream_.received(), words_most, word_most);
+      if (command.state == Command::State::partial) break;
+      answers_.emplace_back();
+      auto number = first_ + answers_.size() - 1;
+      if (command.state == Command::State::malformed) {
+        broken_ = true;
+        answers_.back() = "-ERR malformed command\r\n";
+        pass_on();
+        return owner_.ended(number_);
+      }
+      carry_out(command.words, number);
+      stream_.consume(command.size);
+    }
+    pass_on();
+    if (owner_.closing_) close_if_idle();
+  }
+
+  void carry_out(const std::vector<std::string_view>& words, std::uint64_t number) {
+    auto say = [&](const char* text) { answers_[number - first_] = text; };
+    if (words.empty()) return say("-ERR empty command\r\n");
+    if (is(words[0], "PING")) return say(owner_.is_ready() ? "+PONG\r\n" : "-LOADING not ready\r\n");
+    if (!is(words[0], "ENQUEUE")) return say("-ERR unknown command\r\n");
+    if (words.size() != 5) return say("-ERR ENQUEUE takes key, id, list and body\r\n");
+    owner_.on_document({words[1], words[2], words[3], words[4]}, {number_, number});
+  }
+
+  Clients& owner_;
+  const std::uint64_t number_;
+  Stream stream_;
+  std::deque<std::string> answers_;  // empty: not yet given
+  std::uint64_t first_ = 0;          // the number of the first of them
+  bool reading_ = true, broken_ = false;
+};
+
+Clients::Clients(Loop& loop, const Address& at, std::size_t connections_most)
+    : loop_(loop), connections_most_(connections_most) {
+  listener_ = std::make_unique<Listener>(loop_, at, [this](int fd) { taken(fd); });
+}
+
+Clients::~Clients() = default;
+
+void Clients::taken(int fd) {
+  auto number = ++last_;
+  clients_[number] = std::make_unique<Client>(*this, number, fd);
+  if (clients_.size() >= connections_most_) listener_->pause(true);
+}
+
+void Clients::ended(std::uint64_t number) {
+  auto found = clients_.find(number);
+  if (found == clients_.end()) return;
+  loop_.bury(std::move(found->second));
+  clients_.erase(found);
+  if (listener_ && clients_.size() < connections_most_) listener_->pause(false);
+}
+
+void Clients::answer(AnswerTo to, const std::string& text) {
+  if (auto found = clients_.find(to.client); found != clients_.end()) found->second->answer(to.number, text);
+}
+
+void Clients::stop_listening() { listener_.reset(); }
+
+void Clients::close_after_answers() {
+  closing_ = true;
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, client] : clients_) numbers.push_back(number);
+  for (auto number : numbers)
+    if (auto found = clients_.find(number); found != clients_.end()) found->second->close_if_idle();
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/clients.h
@@ -0,0 +1,51 @@
+// Owns the connections of clients and their commands, in RESP2. It hands documents over and gives back the
+// answers, each in its connection's order; it must never decide whether a document is taken.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "decision/decision.h"
+#include "relay/loop.h"
+
+namespace rockcrank {
+
+struct Handed {  // slices of the connection's buffer
+  std::string_view order_key, id, list, body;
+};
+
+// Where the answer to one command goes; it may be given later, and is passed over once the client is gone.
+struct AnswerTo {
+  std::uint64_t client = 0, number = 0;
+};
+
+class Clients {
+ public:
+  Clients(Loop& loop, const Address& at, std::size_t connections_most);
+  ~Clients();
+
+  std::function<void(const Handed&, AnswerTo)> on_document;
+  std::function<bool()> is_ready;
+
+  void answer(AnswerTo to, const std::string& text);
+  void stop_listening();
+  void close_after_answers();  // each connection, once nothing on it is unanswered
+
+ private:
+  class Client;
+  void taken(int fd);
+  void ended(std::uint64_t number);
+
+  Loop& loop_;
+  const std::size_t connections_most_;
+  std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
+  std::uint64_t last_ = 0;
+  bool closing_ = false;
+  std::unique_ptr<Listener> listener_;
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/config.cpp
@@ -0,0 +1,125 @@
+#include "relay/config.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+#include "settings/settings.h"
+
+namespace rockcrank {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string plain(const Json& value) {
+  if (value.is_string()) return value.get<std::string>();
+  if (value.is_null()) return "-";
+  return value.dump();
+}
+
+// Nested JSON as the paths that the simulator's first message uses for the same settings.
+void flatten(const Json& value, const std::string& path, Pairs& pairs) {
+  auto under = [&](const std::string& name) { return path.empty() ? name : path + "." + name; };
+  if (value.is_object()) {
+    for (const auto& [name, inner] : value.items()) flatten(inner, under(name), pairs);
+  } else if (value.is_array()) {
+    bool objects = std::any_of(value.begin(), value.end(), [](const Json& item) { return item.is_object(); });
+    std::string joined;
+    for (std::size_t i = 0; i < value.size(); ++i) {
+      if (objects) flatten(value[i], under(std::to_string(i)), pairs);
+      else joined += (i > 0 ? "," : "") + plain(value[i]);
+    }
+    if (objects) pairs.set(under("count"), std::to_string(value.size()));
+    else pairs.set(path, joined);
+  } else {
+    pairs.set(path, plain(value));
+  }
+}
+
+template <typename Id>
+std::unordered_map<std::string, Id> numbered_names(const std::vector<std::string_view>& names) {
+  std::unordered_map<std::string, Id> numbers;
+  for (std::size_t i = 0; i < names.size(); ++i) numbers[std::string(names[i])] = Id(i);
+  return numbers;
+}
+
+template <typename Id>
+Id number_of(const std::unordered_map<std::string, Id>& names, const Json& target, const char* field) {
+  auto value = target.find(field);
+  if (value == target.end()) return Id{};
+  auto found = names.find(plain(*value));
+  return found == names.end() ? Id{} : found->second;
+}
+
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+}  // namespace
+
+ListAnswer Config::to_list(const Json& answer) const {
+  ListAnswer list;
+  list.version = answer.at("rev").get<std::int64_t>();
+  list.whole = answer.at("all").get<bool>();
+  for (const auto& target : answer.at("targets")) {
+    Listed listed;
+    auto state = target.at("state").get<std::string>();
+    listed.entry.endpoint = EndpointId(hash_of(target.at("uid").get<std::string>()));
+    listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
+    listed.entry.kind = number_of(kinds, target, "model");
+    listed.entry.hall = number_of(halls, target, "az");
+    listed.entry.standing = state == "Ready"  ? Standing::listed
+                            : state == "Gone" ? Standing::gone
+                                              : Standing::draining;
+    listed.entry.listed_rate = target.value("capacity_hint", 0.0);
+    listed.address = address_of(target.at("endpoint").get<std::string>());
+    list.entries.push_back(std::move(listed));
+  }
+  return list;
+}
+
+Config read_config() {
+  auto path = environment("BALANCER_CONFIG");
+  if (path.empty()) throw std::runtime_error("BALANCER_CONFIG names no configuration file");
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot read the configuration file " + path);
+  Json json = Json::parse(file);
+  auto told = [&](const char* variable, const char* field) {
+    auto value = environment(variable);
+    if (value.empty()) value = json.value(field, "");
+    if (value.empty())
+      throw std::runtime_error(std::string("neither ") + variable + " nor '" + field + "' is told");
+    return value;
+  };
+  Config config;
+  config.name = told("BALANCER_NAME", "name");
+  config.listen = address_of(told("BALANCER_LISTEN", "listen"));
+  config.discovery = address_of(told("BALANCER_DISCOVERY", "discovery"));
+  config.state_folder = told("BALANCER_STATE", "state");
+  auto seed = json.find("seed");
+  if (seed != json.end()) config.seed = hash_of(plain(*seed));
+  auto limits = json.value("limits", Json::object());
+  config.sockets = limits.value("sockets", config.sockets);
+  config.disk_bytes = static_cast<std::size_t>(limits.value("disk_mb", 1.0) * 1e6);
+  Pairs pairs;
+  flatten(json.at("settings"), "", pairs);
+  config.settings = decode_settings(pairs);
+  config.settings.list_on_request = true;  // on sockets the list changes only for those who watch it
+  std::vector<std::string_view> names;
+  std::vector<std::string> doc_types;
+  for (int i = 0; i < pairs.count("classes.count"); ++i)
+    names.push_back(pairs.text("classes." + std::to_string(i) + ".name"));
+  config.doc_types = numbered_names<DocTypeId>(names);
+  config.kinds = numbered_names<KindId>(pairs.list("skus"));
+  config.halls = numbered_names<HallId>(pairs.list("zones"));
+  config.connect_within = pairs.time("limits.dialTimeoutUs");
+  config.idle_life = pairs.time("limits.keepaliveUs");
+  config.drain_grace = pairs.time("rules.drainGraceUs");
+  if (auto known = json.find("known"); known != json.end() && known->is_object())
+    config.known = config.to_list(*known);
+  return config;
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/config.h
@@ -0,0 +1,47 @@
+// Owns what the relay is told at its start: the configuration file, decoded once. It must never be written to
+// afterwards nor hold a second copy of a setting.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "decision/decision.h"
+#include "relay/loop.h"
+
+namespace rockcrank {
+
+// How the list names endpoints, and where this relay reaches them.
+struct Listed {
+  EndpointEntry entry;
+  Address address;
+};
+
+struct ListAnswer {
+  std::int64_t version = 0;
+  bool whole = false;
+  std::vector<Listed> entries;
+};
+
+struct Config {
+  std::string name;
+  Address listen, discovery;
+  std::string state_folder;
+  std::uint64_t seed = 1;
+  std::size_t sockets = 256, disk_bytes = 1 << 20;
+  Settings settings;
+  std::unordered_map<std::string, DocTypeId> doc_types;
+  std::unordered_map<std::string, KindId> kinds;
+  std::unordered_map<std::string, HallId> halls;
+  Millis connect_within = 0, idle_life = 0, drain_grace = 0;
+  ListAnswer known;
+
+  ListAnswer to_list(const nlohmann::json& answer) const;  // throws on what it cannot read
+};
+
+Config read_config();  // from the environment and the file that it names; throws std::exception
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/discovery.cpp
@@ -0,0 +1,138 @@
+#include "relay/discovery.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "relay/log.h"
+
+namespace rockcrank {
+namespace {
+
+constexpr std::size_t list_most = 4 << 20;
+constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
+constexpr Millis answer_within = 2000;
+constexpr Millis watch_wait = 20000;  // as long as the protocol's own example waits
+
+}  // namespace
+
+void Asker::ask(std::string request, Millis within) {
+  request_ = std::move(request);
+  asking_ = true;
+  timer_.set(loop_.now() + within);
+  kept_ = stream_ && stream_->state() == Stream::State::up;
+  if (!kept_) return open();
+  stream_->send(request_);
+}
+
+void Asker::open() {
+  drop();
+  stream_ = std::make_unique<Stream>(loop_, agent_);
+  stream_->on_data = [this] { read(false); };
+  stream_->on_end = [this] { read(true); };
+  if (stream_->state() == Stream::State::ended) timer_.set(loop_.now());
+  else stream_->send(request_);
+}
+
+void Asker::drop() {
+  timer_.clear();
+  if (!stream_) return;
+  stream_->close();
+  loop_.bury(std::move(stream_));
+}
+
+void Asker::fail() {
+  drop();
+  if (!std::exchange(asking_, false)) return;
+  on_failure();
+}
+
+void Asker::read(bool ended) {
+  if (!asking_) return drop();
+  auto answer = read_answer(stream_->received(), list_most, ended);
+  if (answer.state == HttpAnswer::State::partial && !ended) return;
+  if (answer.state != HttpAnswer::State::whole) {
+    // The agent may have closed a kept connection just then: asked once more on a new one.
+    if (ended && std::exchange(kept_, false) && stream_->received().empty()) {
+      auto left = answer_within;
+      open();
+      if (!timer_.is_set()) timer_.set(loop_.now() + left);
+      return;
+    }
+    return fail();
+  }
+  asking_ = false;
+  timer_.clear();
+  if (answer.closes || ended) {
+    answer.headers.clear();  // slices of the buffer that goes with the connection
+    drop();
+  } else {
+    stream_->consume(answer.size);
+  }
+  on_answer(answer);
+}
+
+Watch::Watch(Loop& loop, const Address& agent) : asker_(loop, agent) {
+  asker_.on_failure = [this] { on_failure(); };
+  asker_.on_answer = [this](const HttpAnswer& answer) {
+    if (answer.status != 200 || !on_list(answer.body)) {
+      log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body.size());
+      return on_failure();
+    }
+    next();  // at once, or changes in between are lost to the watch
+  };
+}
+
+void Watch::follow() {
+  if (asker_.asking()) return;
+  if (std::exchange(first_, false)) return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
+  next();
+}
+
+void Watch::next() {
+  auto wait = std::to_string(static_cast<int>(watch_wait));
+  asker_.ask("GET /v1/servers?after=" + std::to_string(version()) + "&wait_ms=" + wait +
+                 " HTTP/1.1\r\nHost: agent\r\n\r\n",
+             watch_wait + answer_within);
+}
+
+Notices::Notices(Loop& loop, const Address& agent)
+    : loop_(loop), asker_(loop, agent), again_(loop, [this] { send(); }) {
+  asker_.on_answer = [this](const HttpAnswer& answer) {
+    if (answer.status / 100 != 2) {
+      log_line("notices: answer %d to %zu notices", answer.status, under_way_.size());
+      return asker_.on_failure();
+    }
+    failures_ = 0;
+    for (const auto& notice : std::exchange(under_way_, {})) on_told(notice.doc);
+    send();
+  };
+  asker_.on_failure = [this] {
+    waiting_.insert(waiting_.begin(), under_way_.begin(), under_way_.end());
+    under_way_.clear();
+    again_.set(loop_.now() + pause_after(++failures_));
+  };
+}
+
+void Notices::tell(DocId doc, const std::string& id, bool rejected, Millis wait) {
+  nlohmann::json line{{"id", id}, {"status", rejected ? "deferred" : "undeliverable"}};
+  if (rejected && wait > 0) line["again_ms"] = static_cast<std::int64_t>(std::ceil(wait));
+  waiting_.push_back({doc, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"});
+  if (failures_ == 0) send();
+}
+
+void Notices::send() {
+  if (asker_.asking() || waiting_.empty()) return;
+  auto count = std::min(waiting_.size(), notices_at_once);
+  auto end = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
+  under_way_.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(end));
+  waiting_.erase(waiting_.begin(), end);
+  std::string body;
+  for (const auto& notice : under_way_) body += notice.line;
+  asker_.ask("POST /reports HTTP/1.1\r\nHost: agent\r\nContent-Length: " + std::to_string(body.size()) +
+                 "\r\n\r\n" + body,
+             answer_within);
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/discovery.h
@@ -0,0 +1,77 @@
+// Owns the talk with the platform's agent: the watch of the list of endpoints and the notices of documents
+// that ended undelivered, each on a connection of its own. It must never decide when to follow the list or to
+// try again: it reports a failure and is told.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "decision/decision.h"
+#include "relay/http.h"
+#include "relay/loop.h"
+
+namespace rockcrank {
+
+// One request after another on one kept connection to the agent.
+class Asker {
+ public:
+  Asker(Loop& loop, const Address& agent) : loop_(loop), agent_(agent), timer_(loop, [this] { fail(); }) {}
+  std::function<void(const HttpAnswer&)> on_answer;
+  std::function<void()> on_failure;
+  void ask(std::string request, Millis within);
+  bool asking() const { return asking_; }
+  void close() { fail(); }
+
+ private:
+  void open();
+  void read(bool ended);
+  void fail();
+  void drop();
+
+  Loop& loop_;
+  const Address agent_;
+  Timer timer_;
+  std::unique_ptr<Stream> stream_;
+  std::string request_;
+  bool asking_ = false, kept_ = false;
+};
+
+class Watch {
+ public:
+  Watch(Loop& loop, const Address& agent);
+  std::function<bool(const std::string& body)> on_list;  // takes in an answer; false: it cannot be read
+  std::function<void()> on_failure;
+  std::function<std::int64_t()> version;  // of the list held; negative: none
+  void follow();
+
+ private:
+  void next();
+  Asker asker_;
+  bool first_ = true;
+};
+
+class Notices {
+ public:
+  Notices(Loop& loop, const Address& agent);
+  std::function<void(DocId)> on_told;
+  std::function<Millis(int)> pause_after;  // so many failures in a row
+  void tell(DocId doc, const std::string& id, bool rejected, Millis wait);
+  bool none_left() const { return waiting_.empty() && under_way_.empty(); }
+
+ private:
+  struct Notice {
+    DocId doc{};
+    std::string line;
+  };
+  void send();
+  Loop& loop_;
+  Asker asker_;
+  Timer again_;
+  std::vector<Notice> waiting_, under_way_;
+  int failures_ = 0;
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/endpoints.cpp
@@ -0,0 +1,324 @@
+#include "relay/endpoints.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "relay/log.h"
+#include "settings/settings.h"
+
+namespace rockcrank {
+namespace {
+
+constexpr std::size_t answer_most = 65536;
+
+std::string request_of(const std::vector<Parcel>& parcels) {
+  Millis longest = 0;
+  for (const auto& parcel : parcels) longest = std::max(longest, parcel.time_out);
+  char time_out[32];
+  std::snprintf(time_out, sizeof time_out, "%.3f", longest / 1000);
+  std::string body, head;
+  if (parcels.size() == 1) {
+    head = "POST /v1/messages HTTP/1.1\r\nHost: endpoint\r\nRequest-Id: " + std::string(parcels[0].id) + "\r\n";
+    if (!parcels[0].mark.empty()) head += "Idempotency-Key: " + std::string(parcels[0].mark) + "\r\n";
+    body = parcels[0].body;
+  } else {
+    head = "POST /v1/messages:batch HTTP/1.1\r\nHost: endpoint\r\nContent-Type: application/json\r\n";
+    auto items = nlohmann::json::array();
+    for (const auto& parcel : parcels) {
+      nlohmann::json item{{"id", parcel.id}, {"body", base64(parcel.body)}};
+      if (!parcel.mark.empty()) item["key"] = parcel.mark;
+      items.push_back(std::move(item));
+    }
+    body = items.dump();
+  }
+  head += "Request-Timeout: " + std::string(time_out) + "\r\n";
+  head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  return head + body;
+}
+
+struct Verdict {
+  Ending ending = Ending::error;
+  bool over = false;
+};
+
+// What an answer says of all documents of its call; what is not known may have run.
+Verdict verdict_of(const HttpAnswer& answer) {
+  switch (answer.status) {
+    case 200: return {Ending::answered, true};
+    case 410: return {Ending::not_sent, true};
+    case 504: return {Ending::not_sent, false};
+    case 503: return {answer.header("X-Line-Busy") == "1" ? Ending::not_sent : Ending::refused, false};
+    case 429:
+    case 400:
+    case 413: return {Ending::refused, false};
+    default: return {Ending::error, false};
+  }
+}
+
+Verdict verdict_of(std::string_view state) {
+  if (state == "ok") return {Ending::answered, true};
+  if (state == "later") return {Ending::refused, false};
+  if (state == "gone") return {Ending::not_sent, true};
+  if (state == "exhausted") return {Ending::not_sent, false};
+  return {Ending::error, false};
+}
+
+}  // namespace
+
+// One connection and the call on it. A document's own time-out takes it out of the call; the connection is
+// given up with the last one.
+class Endpoints::Line {
+ public:
+  struct Item {
+    DocId doc{};
+    int transmission = 0;
+    Millis until = 0;
+    std::string id;
+  };
+
+  Line(Endpoints& owner, EndpointId endpoint, const Address& address)
+      : owner_(owner),
+        endpoint_(endpoint),
+        stream_(owner.loop_, address),
+        timer_(owner.loop_, [this] { due(); }),
+        connect_timer_(owner.loop_, [this] { stop(Ending::not_connected); }) {
+    ++owner_.connections_;
+    stream_.on_up = [this] {
+      connect_timer_.clear();
+      write();
+    };
+    stream_.on_data = [this] { read(false); };
+    stream_.on_end = [this] { read(true); };
+  }
+  ~Line() { --owner_.connections_; }
+
+  EndpointId endpoint() const { return endpoint_; }
+  bool lacks_descriptor() const { return stream_.lacks_descriptor(); }
+  bool usable() const { return stream_.state() == Stream::State::up && stream_.received().empty(); }
+  Millis idle_since() const { return idle_since_; }
+
+  void begin(const std::vector<Parcel>& parcels) {
+    sent_at_ = owner_.loop_.now();
+    for (const auto& parcel : parcels)
+      items_.push_back(
+          {parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out), std::string(parcel.id)});
+    several_ = parcels.size() > 1;
+    request_ = request_of(parcels);
+    watch_time();
+    if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
+      connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
+    if (stream_.state() == Stream::State::up) write();
+  }
+  // No socket was to be had, or the connection was turned down on the spot.
+  bool stillborn() const { return stream_.state() == Stream::State::ended; }
+  void fail(Ending ending) { stop(ending); }
+  void shut() { stream_.close(), timer_.clear(), connect_timer_.clear(); }
+
+  void rested() {
+    idle_since_ = owner_.loop_.now();
+    // Closed before the endpoint does, whose clock began a crossing earlier and ends a crossing later.
+    if (owner_.limits_.idle_life > 0) timer_.set(idle_since_ + 0.9 * owner_.limits_.idle_life);
+  }
+
+  void take_out(DocId doc, int transmission, Ending ending) {
+    for (const auto& item : items_)
+      if (item.doc == doc && item.transmission == transmission) {
+        if (items_.size() == 1) return stop(ending);
+        end_one(item, {unwritten() ? Ending::not_sent : ending, false}, 0, {});
+        items_.erase(items_.begin() + (&item - items_.data()));
+        return watch_time();
+      }
+  }
+
+ private:
+  // Whether the endpoint cannot have the whole call: until its last byte is written, it never ran.
+  bool unwritten() const { return !request_.empty() || stream_.unsent() > 0; }
+
+  void write() {
+    if (request_.empty()) return;
+    // A connection takes time to come up; meanwhile a wait may have been told, which binds this call too.
+    if (!owner_.may_still_go(endpoint_)) return stop(Ending::not_sent);
+    stream_.send(std::exchange(request_, {}));
+  }
+
+  void watch_time() {
+    Millis next = 1e18;
+    for (const auto& item : items_) next = std::min(next, item.until);
+    if (!items_.empty()) timer_.set(next);
+  }
+
+  void due() {
+    if (items_.empty()) return owner_.drop(*this);  // idle for long enough
+    if (stream_.state() == Stream::State::connecting) return stop(Ending::not_connected);
+    auto now = owner_.loop_.now();
+    std::vector<std::pair<DocId, int>> late;
+    for (const auto& item : items_)
+      if (item.until <= now) late.emplace_back(item.doc, item.transmission);
+    bool all = late.size() == items_.size();
+    if (all) return stop(Ending::timed_out);
+    for (auto [doc, transmission] : late) take_out(doc, transmission, Ending::timed_out);
+  }
+
+  void end_one(const Item& item, Verdict verdict, Millis wait, const Hints& hints) {
+    Outcome outcome;
+    outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
+    outcome.ending = verdict.ending, outcome.over = verdict.over;
+    outcome.took = owner_.loop_.now() - sent_at_;
+    outcome.wait = wait, outcome.hints = hints;
+    owner_.under_way_.erase({item.doc, item.transmission});
+    owner_.on_outcome(outcome);
+  }
+
+  void end_all(Verdict verdict, Millis wait, const Hints& hints) {
+    auto items = std::exchange(items_, {});
+    timer_.clear(), connect_timer_.clear();
+    for (const auto& item : items) end_one(item, verdict, wait, hints);
+  }
+
+  // The connection is given up; a call that was not wholly written never ran.
+  void stop(Ending ending) {
+    bool never = unwritten();
+    if (never && (ending == Ending::broken || ending == Ending::timed_out)) ending = Ending::not_connected;
+    if (never && ending == Ending::called_off) ending = Ending::not_sent;
+    end_all({ending, false}, 0, {});
+    owner_.drop(*this);
+  }
+
+  void read(bool ended) {
+    if (items_.empty()) return owner_.drop(*this);  // an idle connection has nothing to say
+    auto answer = read_answer(stream_.received(), answer_most, ended);
+    using State = HttpAnswer::State;
+    if (answer.state == State::partial && !ended) return;
+    // A broken answer still tells by its first line, where that is all that counts.
+    bool whole = answer.state == State::whole;
+    if (!whole && (answer.status == 0 || (several_ && answer.status == 200)))
+      return stop(ended || !unwritten() ? Ending::broken : Ending::not_connected);
+    tell(answer);
+    if (!whole || answer.closes || ended || unwritten()) return owner_.drop(*this);
+    stream_.consume(answer.size);
+    if (!stream_.received().empty()) return owner_.drop(*this);
+    owner_.rest(*this);
+  }
+
+  void tell(const HttpAnswer& answer) {
+    Millis wait = 0;
+    Hints hints;
+    try {
+      if (auto text = answer.header("Retry-After"); !text.empty())
+        wait = std::max(0.0, std::ceil(1000 * to_number(text, "Retry-After")));
+      if (auto text = answer.header("Server-Load"); !text.empty()) hints = hints_of(text, '=');
+    } catch (const Fault& fault) {
+      log_line("answer of %llx: %s", static_cast<unsigned long long>(endpoint_), fault.what());
+    }
+    auto all = verdict_of(answer);
+    if (!several_ || answer.status != 200) return end_all(all, wait, hints);
+    auto states = nlohmann::json::parse(answer.body, nullptr, false);
+    std::map<std::string, Verdict> verdicts;
+    for (const auto& state : states.is_array() ? states : nlohmann::json::array())
+      if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
+          state["state"].is_string())
+        verdicts[state["id"].get<std::string>()] = verdict_of(state["state"].get<std::string>());
+    auto items = std::exchange(items_, {});
+    timer_.clear();
+    for (const auto& item : items) {
+      auto found = verdicts.find(item.id);
+      // A document that the answer leaves out may have run.
+      end_one(item, found == verdicts.end() ? Verdict{Ending::error, false} : found->second, wait, hints);
+    }
+  }
+
+  Endpoints& owner_;
+  const EndpointId endpoint_;
+  Stream stream_;
+  Timer timer_, connect_timer_;
+  std::vector<Item> items_;
+  std::string request_;
+  bool several_ = false;
+  Millis sent_at_ = 0, idle_since_ = 0;
+};
+
+Endpoints::Endpoints(Loop& loop, const Limits& limits) : loop_(loop), limits_(limits) {}
+Endpoints::~Endpoints() = default;
+
+void Endpoints::locate(EndpointId endpoint, const Address& address) {
+  Place& place = places_[endpoint];
+  if (place.address.host != address.host || place.address.port != address.port) close_idle(endpoint);
+  place.address = address;
+}
+
+void Endpoints::call(EndpointId endpoint, const std::vector<Parcel>& parcels) {
+  Place& place = places_.at(endpoint);
+  std::unique_ptr<Line> line;
+  while (!place.idle.empty() && !line) {
+    auto kept = std::move(place.idle.front());
+    place.idle.pop_front();
+    if (kept->usable()) line = std::move(kept);
+    else loop_.bury(std::move(kept));
+  }
+  bool fresh = !line;
+  bool room = !fresh || make_room();
+  if (fresh) line = std::make_unique<Line>(*this, endpoint, place.address);
+  Line& used = *line;
+  busy_[&used] = std::move(line);
+  ++out_;
+  for (const auto& parcel : parcels) under_way_[{parcel.doc, parcel.transmission}] = &used;
+  used.begin(parcels);
+  if (!room || used.lacks_descriptor()) used.fail(Ending::not_sent);
+  else if (fresh && used.stillborn()) used.fail(Ending::not_connected);
+}
+
+// Guards against running out of descriptors: the connection idle for longest makes way.
+bool Endpoints::make_room() {
+  if (connections_ < limits_.connections_most) return true;
+  std::list<std::unique_ptr<Line>>* oldest = nullptr;
+  for (auto& [endpoint, place] : places_)
+    if (!place.idle.empty() &&
+        (!oldest || place.idle.back()->idle_since() < oldest->back()->idle_since()))
+      oldest = &place.idle;
+  if (!oldest) return false;
+  loop_.bury(std::move(oldest->back()));
+  oldest->pop_back();
+  return true;
+}
+
+void Endpoints::call_off(DocId doc, int transmission) {
+  auto found = under_way_.find({doc, transmission});
+  if (found != under_way_.end()) found->second->take_out(doc, transmission, Ending::called_off);
+}
+
+void Endpoints::close_idle(EndpointId endpoint) {
+  auto found = places_.find(endpoint);
+  if (found == places_.end()) return;
+  for (auto& line : found->second.idle) loop_.bury(std::move(line));
+  found->second.idle.clear();
+}
+
+void Endpoints::rest(Line& line) {
+  auto found = busy_.find(&line);
+  if (found == busy_.end()) return;
+  auto& idle = places_.at(line.endpoint()).idle;
+  idle.push_front(std::move(found->second));
+  busy_.erase(found);
+  --out_;
+  line.rested();
+}
+
+void Endpoints::drop(Line& line) {
+  line.shut();
+  if (auto found = busy_.find(&line); found != busy_.end()) {
+    loop_.bury(std::move(found->second));
+    busy_.erase(found);
+    --out_;
+    return;
+  }
+  auto& idle = places_.at(line.endpoint()).idle;
+  auto found = std::find_if(idle.begin(), idle.end(), [&](const auto& kept) { return kept.get() == &line; });
+  if (found == idle.end()) return;
+  loop_.bury(std::move(*found));
+  idle.erase(found);
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/endpoints.h
@@ -0,0 +1,65 @@
+// Owns the connections to endpoints and the calls on them, one call at a time on each. It carries out what
+// the decision module chose and reports how each transmission ended; it must never choose an endpoint, send
+// anything again, or hold a call back, but for asking whether one not yet begun may still go.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decision/decision.h"
+#include "relay/http.h"
+#include "relay/loop.h"
+
+namespace rockcrank {
+
+struct Parcel {
+  DocId doc{};
+  int transmission = 0;
+  Millis time_out = 0;
+  std::string_view id, mark, body;  // of the held document; copied into the request
+};
+
+class Endpoints {
+ public:
+  struct Limits {
+    Millis connect_within = 0, idle_life = 0;
+    std::size_t connections_most = 0;
+  };
+  Endpoints(Loop& loop, const Limits& limits);
+  ~Endpoints();
+
+  std::function<void(const Outcome&)> on_outcome;
+  std::function<bool(EndpointId)> may_still_go;
+
+  void locate(EndpointId endpoint, const Address& address);
+  void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
+  void call_off(DocId doc, int transmission);
+  void close_idle(EndpointId endpoint);
+  bool none_out() const { return out_ == 0; }
+
+ private:
+  class Line;
+  struct Place {
+    Address address;
+    std::list<std::unique_ptr<Line>> idle;  // the last used first
+  };
+
+  void rest(Line& line);
+  void drop(Line& line);
+  bool make_room();
+
+  Loop& loop_;
+  const Limits limits_;
+  std::map<EndpointId, Place> places_;
+  std::map<const Line*, std::unique_ptr<Line>> busy_;
+  std::map<std::pair<DocId, int>, Line*> under_way_;
+  std::size_t connections_ = 0, out_ = 0;
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/loop.cpp
@@ -0,0 +1,314 @@
+#include "relay/loop.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <cstring>
+#include <stdexcept>
+
+namespace rockcrank {
+namespace {
+
+sockaddr_in to_sockaddr(const Address& address) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<std::uint16_t>(address.port));
+  if (inet_pton(AF_INET, address.host.c_str(), &to.sin_addr) != 1)
+    throw std::runtime_error("not an IPv4 address: " + address.host);
+  return to;
+}
+
+volatile sig_atomic_t signal_end = -1;  // a handler reaches nothing but what is static
+
+void on_signal(int) {
+  int kept = errno;
+  char byte = 0;
+  [[maybe_unused]] auto written = ::write(signal_end, &byte, 1);
+  errno = kept;
+}
+
+}  // namespace
+
+Address address_of(std::string_view text) {
+  auto colon = text.rfind(':');
+  Address address;
+  if (colon != std::string_view::npos) {
+    address.host = std::string(text.substr(0, colon));
+    auto port = text.substr(colon + 1);
+    auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
+    if (error != std::errc{} || end != port.data() + port.size()) address.port = -1;
+  }
+  if (address.host.empty() || address.port < 0 || address.port > 65535)
+    throw std::runtime_error("not an address with a port: '" + std::string(text.substr(0, 60)) + "'");
+  to_sockaddr(address);
+  return address;
+}
+
+Loop::Loop() { refresh(); }
+
+Millis Loop::wall() {
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void Loop::refresh() {
+  now_ = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+void Loop::add(int fd, short events, Handler* handler) {
+  places_[fd] = polled_.size();
+  polled_.push_back({fd, events, 0});
+  handlers_.push_back(handler);
+}
+
+void Loop::change(int fd, short events) {
+  if (auto found = places_.find(fd); found != places_.end()) polled_[found->second].events = events;
+}
+
+void Loop::remove(int fd) {
+  auto found = places_.find(fd);
+  if (found == places_.end()) return;
+  polled_[found->second].fd = -1;  // swept out after the round
+  handlers_[found->second] = nullptr;
+  places_.erase(found);
+}
+
+void Loop::run() {
+  running_ = true;
+  while (running_) {
+    refresh();
+    int timeout = -1;
+    if (!timers_.empty())
+      timeout = static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - now_), 0.0, 60000.0));
+    int count = poll(polled_.data(), polled_.size(), timeout);
+    refresh();
+    std::size_t known = polled_.size();
+    for (std::size_t i = 0; count > 0 && i < known; ++i) {
+      if (polled_[i].revents == 0 || !handlers_[i]) continue;
+      handlers_[i]->ready(polled_[i].revents);
+    }
+    auto last = timer_number_;
+    while (!timers_.empty() && timers_.begin()->first.first <= now_ && timers_.begin()->first.second <= last) {
+      Timer* timer = timers_.begin()->second;
+      timer->clear();
+      timer->due_();
+    }
+    std::size_t kept = 0;
+    for (std::size_t i = 0; i < polled_.size(); ++i) {
+      if (polled_[i].fd < 0) continue;
+      polled_[kept] = polled_[i], handlers_[kept] = handlers_[i];
+      polled_[kept].revents = 0;
+      places_[polled_[kept].fd] = kept;
+      ++kept;
+    }
+    polled_.resize(kept), handlers_.resize(kept);
+    buried_.clear();
+  }
+}
+
+void Timer::set(Millis when) {
+  clear();
+  key_ = {when, ++loop_.timer_number_};
+  loop_.timers_[key_] = this;
+}
+
+void Timer::clear() {
+  if (key_.second != 0) loop_.timers_.erase(key_);
+  key_ = {};
+}
+
+Stream::Stream(Loop& loop, int connected_fd) : loop_(loop), fd_(connected_fd), state_(State::up) {
+  int on = 1;
+  setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  loop_.add(fd_, POLLIN, this);
+}
+
+Stream::Stream(Loop& loop, const Address& to) : loop_(loop) {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0) {
+    lacks_descriptor_ = true, state_ = State::ended;
+    return;
+  }
+  int on = 1;
+  setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  auto at = to_sockaddr(to);
+  if (connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 && errno != EINPROGRESS) {
+    ::close(std::exchange(fd_, -1));
+    state_ = State::ended;
+    return;
+  }
+  loop_.add(fd_, POLLOUT, this);
+}
+
+Stream::~Stream() { close(); }
+
+void Stream::close() {
+  if (fd_ >= 0) {
+    loop_.remove(fd_);
+    ::close(std::exchange(fd_, -1));
+  }
+  state_ = State::ended;
+}
+
+void Stream::want() {
+  if (fd_ < 0) return;
+  short events = 0;
+  if (state_ == State::connecting || !out_.empty()) events |= POLLOUT;
+  if (state_ == State::up && reading_) events |= POLLIN;
+  loop_.change(fd_, events);
+}
+
+void Stream::read_on(bool wanted) {
+  reading_ = wanted;
+  want();
+}
+
+void Stream::consume(std::size_t count) {
+  consumed_ += count;
+  if (consumed_ == in_.size()) in_.clear(), consumed_ = 0;
+  else if (consumed_ > 65536) in_.erase(0, std::exchange(consumed_, 0));
+}
+
+void Stream::send(std::string_view bytes) {
+  if (state_ == State::ended) return;
+  out_.append(bytes);
+  if (state_ == State::up && !write_some()) return;  // the break is met when the loop reads
+  want();
+}
+
+bool Stream::write_some() {
+  std::size_t written = 0;
+  while (written < out_.size()) {
+    auto count = ::send(fd_, out_.data() + written, out_.size() - written, MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) {
+      bool later = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOBUFS);
+      out_.erase(0, written);
+      return later;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  out_.clear();
+  return true;
+}
+
+void Stream::read_some() {
+  char piece[16384];
+  bool any = false;
+  for (int round = 0; round < 4; ++round) {
+    auto count = ::recv(fd_, piece, sizeof piece, 0);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (count <= 0) {
+      // What came before the end is still handed on; the callback may close this stream.
+      if (any && on_data) on_data();
+      if (fd_ >= 0) ended();
+      return;
+    }
+    in_.append(piece, static_cast<std::size_t>(count));
+    any = true;
+    if (static_cast<std::size_t>(count) < sizeof piece) break;
+  }
+  if (any && on_data) on_data();
+}
+
+void Stream::ended() {
+  close();
+  if (on_end) on_end();
+}
+
+void Stream::ready(short events) {
+  if (state_ == State::connecting) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0 || (events & (POLLERR | POLLNVAL))) return ended();
+    state_ = State::up;
+    if (on_up) on_up();
+    if (state_ != State::up) return;
+    if (!write_some()) return ended();
+    return want();
+  }
+  if ((events & POLLOUT) && !write_some()) return ended();
+  want();
+  if (events & (POLLIN | POLLHUP | POLLERR | POLLNVAL)) {
+    if (!reading_ && (events & (POLLHUP | POLLERR | POLLNVAL))) return ended();
+    if (reading_) read_some();
+  }
+}
+
+Listener::Listener(Loop& loop, const Address& at, std::function<void(int)> taken)
+    : loop_(loop), taken_(std::move(taken)), again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int on = 1;
+  auto to = to_sockaddr(at);
+  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd_ < 0 || bind(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 || listen(fd_, 512) != 0) {
+    std::string why = std::strerror(errno);
+    if (fd_ >= 0) ::close(fd_);
+    throw std::runtime_error("cannot listen on " + at.host + ":" + std::to_string(at.port) + ": " + why);
+  }
+  loop_.add(fd_, POLLIN, this);
+}
+
+Listener::~Listener() {
+  loop_.remove(fd_);
+  ::close(fd_);
+}
+
+void Listener::pause(bool paused) {
+  paused_ = paused;
+  loop_.change(fd_, paused_ ? 0 : POLLIN);
+}
+
+void Listener::ready(short) {
+  for (int round = 0; round < 64 && !paused_; ++round) {
+    int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      taken_(fd);
+      continue;
+    }
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      // Guards against a spinning loop: the queue stays readable while no descriptor is free.
+      loop_.change(fd_, 0);
+      again_.set(loop_.now() + 20);
+    }
+    return;
+  }
+}
+
+Signals::Signals(Loop& loop, std::function<void()> asked_to_end)
+    : loop_(loop), asked_to_end_(std::move(asked_to_end)) {
+  if (pipe2(ends_, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("cannot make a pipe");
+  signal_end = ends_[1];
+  struct sigaction action {};
+  action.sa_handler = on_signal;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  loop_.add(ends_[0], POLLIN, this);
+}
+
+Signals::~Signals() {
+  signal(SIGTERM, SIG_DFL);
+  signal(SIGINT, SIG_DFL);
+  loop_.remove(ends_[0]);
+  ::close(ends_[0]), ::close(ends_[1]);
+}
+
+void Signals::ready(short) {
+  char bytes[16];
+  if (::read(ends_[0], bytes, sizeof bytes) > 0) asked_to_end_();
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/loop.h
@@ -0,0 +1,155 @@
+// Owns the one loop: poll(2) over descriptors and a queue of timers, and the byte streams on them. It knows
+// nothing of protocols and must never block, decide what is sent, or be entered from a callback.
+#pragma once
+
+#include <poll.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "decision/decision.h"
+
+namespace rockcrank {
+
+class Handler {
+ public:
+  virtual ~Handler() = default;
+  virtual void ready(short events) = 0;
+};
+
+class Loop {
+ public:
+  Loop();
+  Millis now() const { return now_; }  // monotonic, as of this round
+  static Millis wall();                // Unix time
+  void run();
+  void stop() { running_ = false; }
+
+  void add(int fd, short events, Handler* handler);
+  void change(int fd, short events);
+  void remove(int fd);
+  // Whatever must not be freed inside its own callback lives until the end of the round.
+  template <typename Thing>
+  void bury(std::unique_ptr<Thing> thing) {
+    buried_.push_back(std::shared_ptr<void>(std::move(thing)));
+  }
+
+ private:
+  friend class Timer;
+  using Due = std::pair<Millis, std::uint64_t>;
+  void refresh();
+
+  std::vector<pollfd> polled_;
+  std::vector<Handler*> handlers_;
+  std::map<int, std::size_t> places_;
+  std::map<Due, class Timer*> timers_;
+  std::vector<std::shared_ptr<void>> buried_;
+  std::uint64_t timer_number_ = 0;
+  Millis now_ = 0;
+  bool running_ = true;
+};
+
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> due) : loop_(loop), due_(std::move(due)) {}
+  ~Timer() { clear(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  void set(Millis when);
+  void clear();
+  bool is_set() const { return key_.second != 0; }
+
+ private:
+  friend class Loop;
+  Loop& loop_;
+  std::function<void()> due_;
+  Loop::Due key_{};
+};
+
+struct Address {
+  std::string host;
+  int port = 0;
+};
+Address address_of(std::string_view text);  // host:port; throws std::runtime_error
+
+// A non-blocking TCP connection. Its owner frees it, through bury() inside a callback; that closes it.
+class Stream : public Handler {
+ public:
+  enum class State { connecting, up, ended };
+
+  Stream(Loop& loop, int connected_fd);
+  Stream(Loop& loop, const Address& to);  // ended at once where no socket is to be had
+  ~Stream() override;
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  std::function<void()> on_up;
+  std::function<void()> on_data;  // more was received
+  std::function<void()> on_end;   // no more will be received, or the connection broke; called once
+
+  State state() const { return state_; }
+  bool lacks_descriptor() const { return lacks_descriptor_; }
+  std::string_view received() const { return std::string_view(in_).substr(consumed_); }
+  void consume(std::size_t count);
+  void send(std::string_view bytes);
+  std::size_t unsent() const { return out_.size(); }
+  void read_on(bool wanted);  // off: the other side is left to wait
+  void close();
+
+ private:
+  void ready(short events) override;
+  void read_some();
+  bool write_some();
+  void ended();
+  void want();
+
+  Loop& loop_;
+  int fd_ = -1;
+  State state_ = State::connecting;
+  bool lacks_descriptor_ = false, reading_ = true;
+  std::string in_, out_;
+  std::size_t consumed_ = 0;
+};
+
+// Takes connections on one address. Out of descriptors, or told to pause, it leaves them in the queue.
+class Listener : public Handler {
+ public:
+  Listener(Loop& loop, const Address& at, std::function<void(int)> taken);
+  ~Listener() override;
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+  void pause(bool paused);
+
+ private:
+  void ready(short events) override;
+
+  Loop& loop_;
+  int fd_;
+  bool paused_ = false;
+  std::function<void(int)> taken_;
+  Timer again_;
+};
+
+// SIGTERM and SIGINT, brought into the loop through a pipe; SIGPIPE is ignored. One in a process.
+class Signals : public Handler {
+ public:
+  Signals(Loop& loop, std::function<void()> asked_to_end);
+  ~Signals() override;
+  Signals(const Signals&) = delete;
+  Signals& operator=(const Signals&) = delete;
+
+ private:
+  void ready(short events) override;
+
+  Loop& loop_;
+  std::function<void()> asked_to_end_;
+  int ends_[2];
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,292 @@
+#include "relay/relay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+
+#include "relay/log.h"
+#include "settings/settings.h"
+
+namespace rockcrank {
+namespace {
+
+// The protocol's times of a planned restart: connections still come for 0.2 to 0.4 s after SIGTERM, and
+// SIGKILL comes no sooner than 3.7 s after it.
+constexpr Millis connections_come = 500;
+constexpr Millis gone_within = 3500;
+
+constexpr std::size_t spare_descriptors = 24;  // files, agent, signals and the three standard ones
+
+Document to_document(const Held& held, DocId doc, DocTypeId type, Millis wall) {
+  Document document;
+  document.id = doc;
+  document.type = type;
+  document.destination = held.destination;
+  document.has_key = held.order_key.find_first_not_of('0') != std::string::npos;
+  document.key = KeyId(hash_of(held.order_key));
+  document.left = held.expiry - wall;
+  document.transmissions = held.transmissions;
+  document.may_have_run = !held.unproven.empty();
+  if (document.may_have_run) {
+    document.risked_ago = std::max(0.0, wall - held.unproven.front().at);
+    document.risked_hall = held.unproven.front().hall;
+  }
+  return document;
+}
+
+}  // namespace
+
+Relay::Relay(Config config)
+    : config_(std::move(config)),
+      store_(config_.state_folder, config_.disk_bytes),
+      decision_(config_.settings, config_.seed),
+      clients_(loop_, config_.listen, (config_.sockets - std::min(config_.sockets, spare_descriptors)) / 2),
+      endpoints_(loop_, {config_.connect_within, config_.idle_life,
+                         (config_.sockets - std::min(config_.sockets, spare_descriptors)) / 2}),
+      watch_(loop_, config_.discovery),
+      notices_(loop_, config_.discovery),
+      turn_due_(loop_, [this] { settle(); }),
+      leaving_due_(loop_, [this] { leave_further(); }),
+      signals_(loop_, [this] { leave(); }) {
+  clients_.is_ready = [] { return true; };
+  clients_.on_document = [this](const Handed& handed, AnswerTo to) { hand_in(handed, to); };
+  endpoints_.on_outcome = [this](const Outcome& outcome) { ended(outcome); };
+  endpoints_.may_still_go = [this](EndpointId endpoint) {
+    begin();
+    return decision_.may_still_go(endpoint);
+  };
+  watch_.version = [this] { return list_version_; };
+  watch_.on_failure = [this] {
+    begin();
+    decision_.list_failed();
+  };
+  watch_.on_list = [this](const std::string& body) {
+    try {
+      take_list(config_.to_list(nlohmann::json::parse(body)));
+      return true;
+    } catch (const std::exception& error) {
+      log_line("watch: %s", error.what());
+      return false;
+    }
+  };
+  notices_.on_told = [this](DocId doc) {
+    store_.forget(doc);
+    begin();
+  };
+  notices_.pause_after = [this](int failures) { return decision_.pause_after(failures); };
+}
+
+void Relay::run() {
+  begin();
+  take_list(config_.known);
+  recover();
+  settle();
+  log_line("%s serves", config_.name.c_str());
+  loop_.run();
+  settle();
+  log_line("%s ends with %zu documents held", config_.name.c_str(), store_.held().size());
+}
+
+void Relay::begin() {
+  if (std::exchange(turn_open_, true)) return;
+  decision_.begin(loop_.now());
+  for (const auto& outcome : std::exchange(not_sent_, {})) decision_.outcome(outcome);
+  // Turns come at most once a tick, as the module's settings say, so that what comes together goes together.
+  turn_due_.set(std::max(loop_.now(), settled_at_ + config_.settings.tick));
+}
+
+void Relay::recover() {
+  auto wall = Loop::wall();
+  std::vector<DocId> foreign;
+  for (auto& [doc, held] : store_.held()) {
+    auto type = config_.doc_types.find(held.doc_type);
+    if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
+    else if (type == config_.doc_types.end()) foreign.push_back(doc);
+    else decision_.take(to_document(held, doc, type->second, wall));
+  }
+  for (DocId doc : foreign) end(doc, false, 0);  // its type is no longer among the settings
+}
+
+void Relay::take_list(const ListAnswer& list) {
+  begin();
+  std::vector<EndpointEntry> entries;
+  for (const auto& listed : list.entries) {
+    auto fits = static_cast<std::size_t>(listed.entry.kind) < config_.settings.kinds.size();
+    if (!fits) continue;
+    endpoints_.locate(listed.entry.endpoint, listed.address);
+    known_[listed.entry.endpoint] = listed.entry;
+    entries.push_back(listed.entry);
+  }
+  decision_.list(entries, list.whole);
+  list_version_ = list.version;
+}
+
+void Relay::hand_in(const Handed& handed, AnswerTo answer_to) {
+  auto say = [&](const char* text) { clients_.answer(answer_to, text); };
+  Held held;
+  held.id = handed.id, held.order_key = handed.order_key, held.body = handed.body;
+  Millis left = -1;
+  bool addressed = false;
+  try {
+    auto rest = handed.list;
+    while (!rest.empty()) {
+      auto comma = rest.find(',');
+      auto pair = rest.substr(0, comma);
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+      auto equals = pair.find('=');
+      if (equals == std::string_view::npos) continue;
+      auto name = pair.substr(0, equals), value = pair.substr(equals + 1);
+      if (name == "c") held.doc_type = value;
+      else if (name == "d") left = to_number(value, "d");
+      else if (name == "k") held.mark = value;
+      else if (name == "dest")
+        held.destination = DestinationId(to_integer(value, "dest", 0, INT64_MAX)), addressed = true;
+    }
+  } catch (const Fault& fault) {
+    log_line("client: %s", fault.what());
+    return say("-ERR bad value\r\n");
+  }
+  auto type = config_.doc_types.find(held.doc_type);
+  auto printable = [](std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
+  };
+  if (type == config_.doc_types.end() || left < 0 || !addressed || held.id.empty() || !printable(held.id) ||
+      !printable(held.mark) || held.id.size() + held.mark.size() + held.order_key.size() > 1024)
+    return say("-ERR bad document\r\n");
+  begin();
+  auto bytes = held.id.size() + held.mark.size() + held.body.size() + held.order_key.size() + 128;
+  // A full room or a full store: nothing ran, so the client may try again.
+  if (!decision_.has_room() || !store_.has_room(bytes)) return say("-BUSY\r\n");
+  auto wall = Loop::wall();
+  held.expiry = wall + left;
+  auto doc = store_.add(std::move(held));
+  auto document = to_document(store_.held().at(doc), doc, type->second, wall);
+  arrived_.push_back({doc, document, answer_to});
+  decision_.take(document);
+}
+
+void Relay::ended(const Outcome& outcome) {
+  begin();
+  bool never = outcome.ending == Ending::refused || outcome.ending == Ending::not_connected ||
+               outcome.ending == Ending::not_sent;
+  if (store_.held().count(outcome.doc)) {
+    if (outcome.over) store_.forget(outcome.doc);
+    else if (never) store_.never_ran(outcome.doc, outcome.transmission);
+  }
+  decision_.outcome(outcome);
+}
+
+void Relay::end(DocId doc, bool rejected, Millis wait) {
+  if (!store_.held().count(doc)) return;
+  auto fresh = std::find_if(arrived_.begin(), arrived_.end(), [&](const auto& a) { return a.doc == doc; });
+  if (fresh != arrived_.end()) {
+    // Not yet taken on: the client hears it at once, and no notice is owed.
+    auto busy = wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) : std::string("-BUSY");
+    clients_.answer(fresh->answer_to, rejected ? busy + "\r\n" : "-ERR cannot be transmitted\r\n");
+    arrived_.erase(fresh);
+    store_.forget(doc);
+    return;
+  }
+  store_.ended(doc, rejected, wait);
+  notices_.tell(doc, store_.held().at(doc).id, rejected, wait);
+}
+
+void Relay::settle() {
+  if (!turn_open_) {
+    turn_open_ = true;
+    decision_.begin(loop_.now());
+    for (const auto& outcome : std::exchange(not_sent_, {})) decision_.outcome(outcome);
+  }
+  auto decided = decision_.decide();
+  turn_open_ = false;
+  settled_at_ = loop_.now();
+  turn_due_.clear();
+  for (const auto& line : decided.log) log_line("%s", line.c_str());
+  for (const auto& reject : decided.rejected) end(reject.doc, true, reject.wait);
+  for (DocId doc : decided.abandoned) end(doc, false, 0);
+  // The store comes before the answers and before the sends: what outlives the process must know of both.
+  for (const auto& one : arrived_) store_.taken(one.doc);
+  auto wall = Loop::wall();
+  std::map<DocId, int> numbers;
+  for (const auto& sent : decided.transmitted) {
+    auto found = store_.held().find(sent.doc);
+    if (found == store_.held().end()) continue;
+    store_.sent(sent.doc, found->second.transmissions, wall, known_.at(sent.endpoint).hall);
+  }
+  bool kept = store_.flush();
+  answer_arrived(kept);
+  for (EndpointId endpoint : decided.closed) endpoints_.close_idle(endpoint);
+  if (kept) send(decided.transmitted);
+  else
+    for (const auto& sent : decided.transmitted)
+      if (auto found = store_.held().find(sent.doc); found != store_.held().end()) {
+        Outcome outcome;
+        outcome.doc = sent.doc, outcome.endpoint = sent.endpoint, outcome.ending = Ending::not_sent;
+        outcome.transmission = found->second.transmissions - 1;
+        store_.never_ran(sent.doc, outcome.transmission);
+        not_sent_.push_back(outcome);
+      }
+  for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
+  if (decided.follow_list) watch_.follow();
+  if (!turn_open_ && (decided.wake_in >= 0 || !not_sent_.empty())) {
+    auto wake = not_sent_.empty() ? decided.wake_in : 0.0;
+    turn_due_.set(loop_.now() + std::max(wake, config_.settings.tick));
+  }
+}
+
+void Relay::answer_arrived(bool kept) {
+  for (const auto& one : std::exchange(arrived_, {})) {
+    clients_.answer(one.answer_to, kept ? "+OK\r\n" : "-BUSY\r\n");
+    if (kept) continue;
+    decision_.withdraw(one.doc);
+    store_.forget(one.doc);
+  }
+}
+
+void Relay::send(const std::vector<Transmit>& transmitted) {
+  // Transmissions of one turn to one endpoint make one call, up to the number its kind allows.
+  std::vector<std::pair<EndpointId, std::vector<Parcel>>> calls;
+  std::unordered_map<std::uint64_t, std::size_t> open;
+  for (const auto& sent : transmitted) {
+    auto found = store_.held().find(sent.doc);
+    if (found == store_.held().end()) continue;
+    const Held& held = found->second;
+    auto kind = static_cast<std::size_t>(known_.at(sent.endpoint).kind);
+    auto most = static_cast<std::size_t>(std::max(1, config_.settings.kinds.at(kind).bundle_max));
+    auto place = open.find(static_cast<std::uint64_t>(sent.endpoint));
+    if (place == open.end() || calls[place->second].second.size() >= most) {
+      open[static_cast<std::uint64_t>(sent.endpoint)] = calls.size();
+      calls.push_back({sent.endpoint, {}});
+      place = open.find(static_cast<std::uint64_t>(sent.endpoint));
+    }
+    calls[place->second].second.push_back(
+        {sent.doc, held.transmissions - 1, sent.time_out, held.id, held.mark, held.body});
+  }
+  for (const auto& [endpoint, parcels] : calls) endpoints_.call(endpoint, parcels);
+}
+
+// A planned end: clients are served on while their connections still come, then each connection is closed
+// between two requests; calls under way are let end, and what is held waits in the store.
+void Relay::leave() {
+  if (std::exchange(leaving_, true)) return;
+  log_line("%s is asked to end, %zu documents held", config_.name.c_str(), store_.held().size());
+  leave_at_ = loop_.now() + gone_within;
+  begin();
+  decision_.leave(gone_within);
+  leaving_due_.set(loop_.now() + connections_come);
+}
+
+void Relay::leave_further() {
+  auto now = loop_.now();
+  if (now < leave_at_) {
+    clients_.stop_listening();
+    clients_.close_after_answers();
+  }
+  bool done = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
+  if (done || now >= leave_at_) return loop_.stop();
+  leaving_due_.set(std::min(leave_at_, now + 50));
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,67 @@
+// Owns one running relay: its parts, the decision module, and the turns in which the module is told what
+// happened and its answers are carried out. It must never decide itself: whether a document is taken, where
+// and when it goes, how long anything waits is all asked of the module.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decision/decision.h"
+#include "relay/clients.h"
+#include "relay/config.h"
+#include "relay/discovery.h"
+#include "relay/endpoints.h"
+#include "relay/loop.h"
+#include "relay/store.h"
+
+namespace rockcrank {
+
+class Relay {
+ public:
+  explicit Relay(Config config);
+  void run();  // until a SIGTERM has been gone through
+
+ private:
+  // What came since the last turn, in its order.
+  struct Arrived {
+    DocId doc{};
+    Document document;
+    AnswerTo answer_to;
+  };
+
+  void hand_in(const Handed& handed, AnswerTo answer_to);
+  void ended(const Outcome& outcome);
+  void take_list(const ListAnswer& list);
+  void recover();
+  void begin();   // opens a turn, if none is open
+  void settle();  // ends the turn: asks the module, notes, answers, sends
+  void answer_arrived(bool kept);
+  void end(DocId doc, bool rejected, Millis wait);
+  void send(const std::vector<Transmit>& transmitted);
+  void leave();
+  void leave_further();
+
+  const Config config_;
+  Loop loop_;
+  Store store_;
+  Decision decision_;
+  Clients clients_;
+  Endpoints endpoints_;
+  Watch watch_;
+  Notices notices_;
+  Timer turn_due_, leaving_due_;
+  Signals signals_;
+
+  std::map<EndpointId, EndpointEntry> known_;
+  std::vector<Arrived> arrived_;
+  std::vector<Outcome> not_sent_;  // told to the module in the next turn
+  std::int64_t list_version_ = -1;
+  Millis settled_at_ = -1e18;
+  bool turn_open_ = false, leaving_ = false;
+  Millis leave_at_ = 0;
+};
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/resp.h
@@ -0,0 +1,21 @@
+// Owns the reading of clients' commands (RESP2: arrays of bulk strings). It copies nothing: a command is
+// slices of the buffer given. It must never judge what a command means.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace rockcrank {
+
+struct Command {
+  enum class State { partial, whole, malformed };
+  State state = State::partial;
+  std::vector<std::string_view> words;
+  std::size_t size = 0;  // bytes of the buffer it took
+};
+
+// Reads the command at the front of the buffer; words_most and word_most bound what is waited for.
+Command read_command(std::string_view buffer, std::size_t words_most, std::size_t word_most);
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/store.cpp
@@ -0,0 +1,276 @@
+#include "relay/store.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include "relay/log.h"
+#include "settings/settings.h"
+
+namespace rockcrank {
+namespace {
+
+// A record: its length and a check sum, then kind, document and the rest.
+constexpr std::size_t head_bytes = 8;
+constexpr std::size_t upkeep_bytes = 160;  // a document's later records, as counted ahead
+constexpr std::size_t block_bytes = 512;
+
+template <typename Number>
+void put(std::string& to, Number number) {
+  char bytes[sizeof number];
+  std::memcpy(bytes, &number, sizeof number);
+  to.append(bytes, sizeof number);
+}
+
+void put_text(std::string& to, std::string_view text) {
+  put(to, static_cast<std::uint32_t>(text.size()));
+  to.append(text);
+}
+
+class Reader {
+ public:
+  explicit Reader(std::string_view bytes) : rest_(bytes) {}
+  template <typename Number>
+  Number number() {
+    Number value;
+    if (rest_.size() < sizeof value) throw Fault("a record is too short");
+    std::memcpy(&value, rest_.data(), sizeof value);
+    rest_.remove_prefix(sizeof value);
+    return value;
+  }
+  std::string text() {
+    auto size = number<std::uint32_t>();
+    if (rest_.size() < size) throw Fault("a record is too short");
+    std::string value(rest_.substr(0, size));
+    rest_.remove_prefix(size);
+    return value;
+  }
+
+ private:
+  std::string_view rest_;
+};
+
+std::uint32_t sum_of(std::string_view bytes) { return static_cast<std::uint32_t>(hash_of(bytes) >> 7); }
+
+std::string record_of(char kind, DocId doc, std::string_view rest) {
+  std::string inner(1, kind);
+  put(inner, static_cast<std::uint64_t>(doc));
+  inner.append(rest);
+  std::string record;
+  put(record, static_cast<std::uint32_t>(inner.size()));
+  put(record, sum_of(inner));
+  return record + inner;
+}
+
+bool write_all(int fd, std::string_view bytes) {
+  while (!bytes.empty()) {
+    auto count = ::write(fd, bytes.data(), bytes.size());
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(count));
+  }
+  return true;
+}
+
+}  // namespace
+
+Store::Store(std::string folder, std::size_t bytes_most) : folder_(std::move(folder)), bytes_most_(bytes_most) {
+  std::filesystem::create_directories(folder_);
+  recover();
+  if (!compact()) throw std::runtime_error("cannot write in the folder " + folder_);
+}
+
+Store::~Store() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+DocId Store::add(Held document) {
+  DocId doc{++last_};
+  held_.emplace(doc, std::move(document));
+  return doc;
+}
+
+std::string Store::whole(const Held& document) const {
+  std::string rest;
+  for (const auto* text : {&document.id, &document.mark, &document.body, &document.order_key, &document.doc_type})
+    put_text(rest, *text);
+  put(rest, static_cast<std::uint64_t>(document.destination));
+  put(rest, document.expiry);
+  put(rest, static_cast<std::int32_t>(document.transmissions));
+  put(rest, static_cast<std::uint32_t>(document.unproven.size()));
+  for (const auto& sent : document.unproven) {
+    put(rest, static_cast<std::int32_t>(sent.transmission));
+    put(rest, sent.at);
+    put(rest, static_cast<std::uint32_t>(sent.hall));
+  }
+  put(rest, static_cast<char>(document.ended)), put(rest, static_cast<char>(document.rejected));
+  put(rest, document.reject_wait);
+  return rest;
+}
+
+void Store::note(char kind, DocId doc, std::string_view rest) {
+  auto record = record_of(kind, doc, rest);
+  if (kind == 'T') {
+    written_[doc] = record.size() + upkeep_bytes;
+    live_bytes_ += written_[doc];
+  }
+  pending_ += record;
+}
+
+// The old file stands beside the new one while it is compacted, so what is live may take less than half.
+bool Store::has_room(std::size_t bytes) {
+  auto wanted = live_bytes_ + bytes + 2 * upkeep_bytes + head_bytes;
+  return wanted * 2 + 4 * block_bytes < bytes_most_;
+}
+
+void Store::taken(DocId doc) { note('T', doc, whole(held_.at(doc))); }
+
+void Store::sent(DocId doc, int transmission, Millis at, HallId hall) {
+  Held& document = held_.at(doc);
+  document.transmissions = std::max(document.transmissions, transmission + 1);
+  document.unproven.push_back({transmission, at, hall});
+  std::string rest;
+  put(rest, static_cast<std::int32_t>(transmission));
+  put(rest, at);
+  put(rest, static_cast<std::uint32_t>(hall));
+  note('S', doc, rest);
+}
+
+void Store::never_ran(DocId doc, int transmission) {
+  auto found = held_.find(doc);
+  if (found == held_.end()) return;
+  auto& unproven = found->second.unproven;
+  unproven.erase(std::remove_if(unproven.begin(), unproven.end(),
+                                [&](const auto& sent) { return sent.transmission == transmission; }),
+                 unproven.end());
+  std::string rest;
+  put(rest, static_cast<std::int32_t>(transmission));
+  note('N', doc, rest);
+}
+
+void Store::ended(DocId doc, bool rejected, Millis wait) {
+  Held& document = held_.at(doc);
+  document.ended = true, document.rejected = rejected, document.reject_wait = wait;
+  document.body.clear();
+  std::string rest;
+  put(rest, static_cast<char>(rejected));
+  put(rest, wait);
+  note('E', doc, rest);
+}
+
+void Store::forget(DocId doc) {
+  held_.erase(doc);
+  auto found = written_.find(doc);
+  if (found == written_.end()) return;
+  live_bytes_ -= found->second;
+  written_.erase(found);
+  note('F', doc, {});
+}
+
+bool Store::flush() {
+  if (pending_.empty()) return true;
+  // Compaction writes the documents as they are now, with all that is pending.
+  if (fd_ < 0 || file_bytes_ + pending_.size() + live_bytes_ + 4 * block_bytes > bytes_most_) return compact();
+  auto size = pending_.size();
+  bool written = write_all(fd_, pending_);
+  pending_.clear();
+  if (!written) return compact();
+  file_bytes_ += size;
+  return true;
+}
+
+bool Store::compact() {
+  auto fresh = folder_ + "/held.new", kept = folder_ + "/held";
+  int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0) {
+    log_line("store: cannot make a file: %s", std::strerror(errno));
+    return false;
+  }
+  std::string bytes;
+  for (const auto& [doc, size] : written_) bytes += record_of('T', doc, whole(held_.at(doc)));
+  if (!write_all(fd, bytes) || std::rename(fresh.c_str(), kept.c_str()) != 0) {
+    log_line("store: cannot compact %zu bytes: %s", bytes.size(), std::strerror(errno));
+    ::close(fd);
+    std::remove(fresh.c_str());
+    return false;
+  }
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = fd, file_bytes_ = bytes.size();
+  pending_.clear();
+  return true;
+}
+
+void Store::recover() {
+  std::remove((folder_ + "/held.new").c_str());
+  std::ifstream file(folder_ + "/held", std::ios::binary);
+  std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  std::size_t at = 0;
+  while (at + head_bytes <= bytes.size()) {
+    std::uint32_t size = 0, sum = 0;
+    std::memcpy(&size, bytes.data() + at, sizeof size);
+    std::memcpy(&sum, bytes.data() + at + sizeof size, sizeof sum);
+    // Guards against a torn tail: a kill may cut the last record short; what it tells never counted.
+    if (size > bytes.size() - at - head_bytes) break;
+    auto inner = std::string_view(bytes).substr(at + head_bytes, size);
+    if (sum_of(inner) != sum) break;
+    at += head_bytes + size;
+    try {
+      Reader reader(inner);
+      char kind = reader.number<char>();
+      DocId doc{reader.number<std::uint64_t>()};
+      last_ = std::max(last_, static_cast<std::uint64_t>(doc));
+      if (kind == 'T') {
+        Held document;
+        for (auto* text : {&document.id, &document.mark, &document.body, &document.order_key, &document.doc_type})
+          *text = reader.text();
+        document.destination = DestinationId(reader.number<std::uint64_t>());
+        document.expiry = reader.number<double>();
+        document.transmissions = reader.number<std::int32_t>();
+        for (auto count = reader.number<std::uint32_t>(); count > 0; --count) {
+          auto transmission = reader.number<std::int32_t>();
+          auto when = reader.number<double>();
+          document.unproven.push_back({transmission, when, HallId(reader.number<std::uint32_t>())});
+        }
+        document.ended = reader.number<char>() != 0, document.rejected = reader.number<char>() != 0;
+        document.reject_wait = reader.number<double>();
+        held_[doc] = std::move(document);
+        written_[doc] = head_bytes + size + upkeep_bytes;
+        live_bytes_ += written_[doc];
+      } else if (auto found = held_.find(doc); found != held_.end()) {
+        Held& document = found->second;
+        if (kind == 'S') {
+          auto transmission = reader.number<std::int32_t>();
+          auto when = reader.number<double>();
+          document.unproven.push_back({transmission, when, HallId(reader.number<std::uint32_t>())});
+          document.transmissions = std::max(document.transmissions, transmission + 1);
+        } else if (kind == 'N') {
+          auto transmission = reader.number<std::int32_t>();
+          auto& sent = document.unproven;
+          sent.erase(std::remove_if(sent.begin(), sent.end(),
+                                    [&](const auto& one) { return one.transmission == transmission; }),
+                     sent.end());
+        } else if (kind == 'E') {
+          document.ended = true, document.rejected = reader.number<char>() != 0;
+          document.reject_wait = reader.number<double>();
+        } else if (kind == 'F') {
+          live_bytes_ -= written_[doc];
+          held_.erase(doc), written_.erase(doc);
+        }
+      }
+    } catch (const Fault& fault) {
+      log_line("store: %s", fault.what());
+    }
+  }
+  if (at < bytes.size()) log_line("store: %zu bytes of a torn tail skipped", bytes.size() - at);
+  if (!held_.empty()) log_line("store: %zu documents recovered", held_.size());
+}
+
+}  // namespace rockcrank
--- /dev/null
+++ b/src/relay/store.h
@@ -0,0 +1,66 @@
+// Owns the documents that this relay holds, and the file that lets them outlive its process. It must never
+// decide what becomes of a document, and never grow past the room it was given.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decision/decision.h"
+
+namespace rockcrank {
+
+struct Held {
+  struct Sent {
+    int transmission = 0;
+    Millis at = 0;  // Unix time
+    HallId hall{};
+  };
+  std::string id, mark, body, order_key;
+  std::string doc_type;  // by name: its number may change with the settings
+  DestinationId destination{};
+  Millis expiry = 0;  // Unix time
+  int transmissions = 0;
+  std::vector<Sent> unproven;  // transmissions that may have run, or are out
+  bool ended = false;          // rejected or abandoned, the notice not yet taken
+  bool rejected = false;
+  Millis reject_wait = 0;
+};
+
+class Store {
+ public:
+  Store(std::string folder, std::size_t bytes_most);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+
+  std::map<DocId, Held>& held() { return held_; }
+  DocId add(Held document);             // held, but not yet written
+  bool has_room(std::size_t bytes);     // for one more document of this size
+  void taken(DocId doc);
+  void sent(DocId doc, int transmission, Millis at, HallId hall);
+  void never_ran(DocId doc, int transmission);
+  void ended(DocId doc, bool rejected, Millis wait);
+  void forget(DocId doc);  // nothing more is owed
+  bool flush();            // what was noted outlives the process from here on; false: it may not
+
+ private:
+  void recover();
+  bool compact();
+  void note(char kind, DocId doc, std::string_view rest);
+  std::string whole(const Held& document) const;
+
+  const std::string folder_;
+  const std::size_t bytes_most_;
+  std::map<DocId, Held> held_;
+  std::map<DocId, std::size_t> written_;  // bytes of each document's own record
+  std::uint64_t last_ = 0;
+  std::string pending_;
+  int fd_ = -1;
+  std::size_t file_bytes_ = 0, live_bytes_ = 0;
+};
+
+}  // namespace rockcrank
