--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -121,10 +121,14 @@
   // No more calls can be out than there are sockets for them.
   config.settings.slots = std::min(config.settings.slots, static_cast<int>(config.endpoint_connections));
   config.settings.list_on_request = true;  // on sockets the list changes only for those who watch it
-  std::vector<std::string_view> names;
-  for (int i = 0; i < pairs.count("classes.count"); ++i)
-    names.push_back(pairs.text("classes." + std::to_string(i) + ".name"));
-  config.doc_types = numbered_names<DocTypeId>(names);
+  auto names = [&](const std::string& list) {
+    std::vector<std::string_view> found;
+    for (int i = 0; i < pairs.count(list + ".count"); ++i)
+      found.push_back(pairs.text(list + "." + std::to_string(i) + ".name"));
+    return found;
+  };
+  config.doc_types = numbered_names<DocTypeId>(names("classes"));
+  config.tenants = numbered_names<TenantId>(names("orgs"));
   config.kinds = numbered_names<KindId>(pairs.list("skus"));
   config.halls = numbered_names<HallId>(pairs.list("zones"));
   config.connect_within = pairs.time("limits.dialTimeoutUs");
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -34,6 +34,7 @@
   std::size_t client_connections = 0, endpoint_connections = 0, disk_bytes = 0;
   Settings settings;
   std::unordered_map<std::string, DocTypeId> doc_types;
+  std::unordered_map<std::string, TenantId> tenants;
   std::unordered_map<std::string, KindId> kinds;
   std::unordered_map<std::string, HallId> halls;
   Millis connect_within = 0, idle_life = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,23 +17,6 @@
 constexpr Millis connections_come = 500;
 constexpr Millis gone_within = 3500;
 
-Document to_document(const Held& held, DocId doc, DocTypeId type, Millis wall) {
-  Document document;
-  document.id = doc;
-  document.type = type;
-  document.destination = held.destination;
-  document.has_key = held.order_key.find_first_not_of('0') != std::string::npos;
-  document.key = KeyId(hash_of(held.order_key));
-  document.left = held.expiry - wall;
-  document.transmissions = held.transmissions;
-  document.may_have_run = !held.unproven.empty();
-  if (document.may_have_run) {
-    document.risked_ago = std::max(0.0, wall - held.unproven.front().at);
-    document.risked_hall = held.unproven.front().hall;
-  }
-  return document;
-}
-
 }  // namespace
 
 Relay::Relay(Config config)
@@ -93,14 +76,32 @@
   turn_due_.set(std::max(loop_.now(), settled_at_ + config_.settings.tick));
 }
 
+Document Relay::to_document(const Held& held, DocId doc, Millis wall) const {
+  Document document;
+  document.id = doc;
+  document.type = config_.doc_types.at(held.doc_type);
+  auto tenant = config_.tenants.find(held.tenant);
+  document.tenant = tenant == config_.tenants.end() ? TenantId(UINT32_MAX) : tenant->second;  // of no share
+  document.destination = held.destination;
+  document.has_key = held.order_key.find_first_not_of('0') != std::string::npos;
+  document.key = KeyId(hash_of(held.order_key));
+  document.left = held.expiry - wall;
+  document.transmissions = held.transmissions;
+  document.may_have_run = !held.unproven.empty();
+  if (document.may_have_run) {
+    document.risked_ago = std::max(0.0, wall - held.unproven.front().at);
+    document.risked_hall = held.unproven.front().hall;
+  }
+  return document;
+}
+
 void Relay::recover() {
   auto wall = Loop::wall();
   std::vector<DocId> foreign;
   for (auto& [doc, held] : store_.held()) {
-    auto type = config_.doc_types.find(held.doc_type);
     if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
-    else if (type == config_.doc_types.end()) foreign.push_back(doc);
-    else decision_.take(to_document(held, doc, type->second, wall));
+    else if (!config_.doc_types.count(held.doc_type)) foreign.push_back(doc);
+    else decision_.take(to_document(held, doc, wall));
   }
   for (DocId doc : foreign) end(doc, false, 0);  // its type is no longer among the settings
 }
@@ -137,6 +138,7 @@
       if (name == "c") held.doc_type = value;
       else if (name == "d") left = to_number(value, "d");
       else if (name == "k") held.mark = value;
+      else if (name == "t") held.tenant = value;
       else if (name == "dest")
         held.destination = DestinationId(to_integer(value, "dest", 0, INT64_MAX)), addressed = true;
     }
@@ -144,12 +146,11 @@
     log_line("client: %s", fault.what());
     return say("-ERR bad value\r\n");
   }
-  auto type = config_.doc_types.find(held.doc_type);
   auto printable = [](std::string_view text) {
     return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
   };
-  if (type == config_.doc_types.end() || left < 0 || !addressed || held.id.empty() || !printable(held.id) ||
-      !printable(held.mark) || held.id.size() + held.mark.size() + held.order_key.size() > 1024)
+  if (!config_.doc_types.count(held.doc_type) || left < 0 || !addressed || held.id.empty() || !printable(held.id) ||
+      !printable(held.mark) || held.id.size() + held.mark.size() + held.order_key.size() + held.tenant.size() > 1024)
     return say("-ERR bad document\r\n");
   begin();
   auto bytes = held.id.size() + held.mark.size() + held.body.size() + held.order_key.size() + 128;
@@ -158,7 +159,7 @@
   auto wall = Loop::wall();
   held.expiry = wall + left;
   auto doc = store_.add(std::move(held));
-  auto document = to_document(store_.held().at(doc), doc, type->second, wall);
+  auto document = to_document(store_.held().at(doc), doc, wall);
   arrived_.push_back({doc, document, answer_to});
   decision_.take(document);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,6 +32,7 @@
     AnswerTo answer_to;
   };
 
+  Document to_document(const Held& held, DocId doc, Millis wall) const;
   void hand_in(const Handed& handed, AnswerTo answer_to);
   void ended(const Outcome& outcome);
   void take_list(const ListAnswer& list);
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -102,7 +102,8 @@
 
 std::string Store::whole(const Held& document) const {
   std::string rest;
-  for (const auto* text : {&document.id, &document.mark, &document.body, &document.order_key, &document.doc_type})
+  for (const auto* text : {&document.id, &document.mark, &document.body, &document.order_key,
+                           &document.doc_type, &document.tenant})
     put_text(rest, *text);
   put(rest, static_cast<std::uint64_t>(document.destination));
   put(rest, document.expiry);
@@ -231,7 +232,8 @@
       last_ = std::max(last_, static_cast<std::uint64_t>(doc));
       if (kind == 'T') {
         Held document;
-        for (auto* text : {&document.id, &document.mark, &document.body, &document.order_key, &document.doc_type})
+        for (auto* text : {&document.id, &document.mark, &document.body, &document.order_key,
+                           &document.doc_type, &document.tenant})
           *text = reader.text();
         document.destination = DestinationId(reader.number<std::uint64_t>());
         document.expiry = reader.number<double>();
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -20,7 +20,7 @@
     HallId hall{};
   };
   std::string id, mark, body, order_key;
-  std::string doc_type;  // by name: its number may change with the settings
+  std::string doc_type, tenant;  // by name: their numbers may change with the settings
   DestinationId destination{};
   Millis expiry = 0;  // Unix time
   int transmissions = 0;
