--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -41,13 +41,16 @@
     };
   }
 
-  bool is_idle() const { return answers_.empty() && stream_.received().empty() && stream_.unsent() == 0; }
+  bool is_idle() const {
+    return answers_.empty() && stream_.unsent() == 0 && (finishing_ || stream_.received().empty());
+  }
   Millis used_at() const { return used_at_; }
 
   void answer(std::uint64_t command, const std::string& text) {
     if (command < first_ || command - first_ >= answers_.size()) return;
     answers_[command - first_] = text;
     pass_on();
+    if (finishing_) return finish();
     if (!reading_ && !paused()) {
       reading_ = true;
       stream_.read_on(!input_over_);
@@ -58,10 +61,16 @@
 
   // Between requests only: one that has arrived in part is still answered, if the rest can come.
   void close_if_idle() {
-    if (answers_.empty() && (input_over_ || stream_.received().empty())) stream_.finish();
+    if (answers_.empty() && (input_over_ || stream_.received().empty())) finish();
   }
 
  private:
+  void finish() {
+    finishing_ = true;
+    pass_on();
+    if (answers_.empty()) stream_.finish();
+  }
+
   bool paused() const { return answers_.size() >= unanswered_most || stream_.unsent() >= unsent_most; }
 
   void pass_on() {
@@ -76,7 +85,7 @@
 
   void read() {
     used_at_ = owner_.loop_.now();
-    while (stream_.state() == Stream::State::up && !broken_) {
+    while (stream_.state() == Stream::State::up && !finishing_) {
       if (paused()) {
         reading_ = false;
         return stream_.read_on(false);
@@ -86,10 +95,8 @@
       answers_.emplace_back();
       auto number = first_ + answers_.size() - 1;
       if (command.state == Command::State::malformed) {
-        broken_ = true;
         answers_.back() = "-ERR malformed command\r\n";
-        pass_on();
-        return stream_.finish();
+        return finish();
       }
       carry_out(command.words, number);
       stream_.consume(command.size);
@@ -112,7 +119,7 @@
   Stream stream_;
   std::deque<std::string> answers_;  // empty: not yet given
   std::uint64_t first_ = 0;          // the number of the first of them
-  bool reading_ = true, broken_ = false, input_over_ = false;
+  bool reading_ = true, finishing_ = false, input_over_ = false;
   Millis used_at_ = 0;
 };
 
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -72,14 +72,18 @@
     Listed listed;
     auto state = target.at("state").get<std::string>();
     listed.entry.endpoint = EndpointId(hash_of(target.at("uid").get<std::string>()));
-    listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
+    // One that drains or is gone may be told by its name alone.
+    bool needed = state == "Ready";
+    if (needed || target.contains("pod_group"))
+      listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
     listed.entry.kind = number_of(kinds, target, "model");
     listed.entry.hall = number_of(halls, target, "az");
     listed.entry.standing = state == "Ready"  ? Standing::listed
                             : state == "Gone" ? Standing::gone
                                               : Standing::draining;
     listed.entry.listed_rate = target.value("capacity_hint", 0.0);
-    listed.address = address_of(target.at("endpoint").get<std::string>());
+    if (needed || target.contains("endpoint"))
+      listed.address = address_of(target.at("endpoint").get<std::string>());
     list.entries.push_back(std::move(listed));
   } catch (const std::exception& error) {
     log_line("list: an entry is left out: %s", error.what());  // the others still hold
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -12,8 +12,6 @@
 namespace rockcrank {
 namespace {
 
-constexpr std::size_t answer_most = 65536;
-
 std::string request_of(const std::vector<Parcel>& parcels, const std::string& host) {
   Millis longest = 0;
   for (const auto& parcel : parcels) longest = std::max(longest, parcel.time_out);
@@ -192,7 +190,7 @@
 
   void read(bool ended) {
     if (items_.empty()) return owner_.drop(*this);  // an idle connection has nothing to say
-    auto answer = read_answer(stream_.received(), answer_most, ended);
+    auto answer = read_answer(stream_.received(), body_most, ended);
     using State = HttpAnswer::State;
     if (answer.state == State::partial && !ended) return;
     // A broken answer still tells by its first line, where that is all that counts.
@@ -247,6 +245,11 @@
 Endpoints::Endpoints(Loop& loop, const Limits& limits) : loop_(loop), limits_(limits) {}
 Endpoints::~Endpoints() = default;
 
+// A document's part of a bundle: base64, and the names around it.
+std::size_t Endpoints::bundled_bytes(std::string_view id, std::string_view mark, std::string_view body) {
+  return (body.size() + 2) / 3 * 4 + id.size() + mark.size() + 40;
+}
+
 void Endpoints::locate(EndpointId endpoint, const Address& address) {
   Place& place = places_[endpoint];
   if (place.address.host != address.host || place.address.port != address.port) close_idle(endpoint);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -34,6 +34,9 @@
   Endpoints(Loop& loop, const Limits& limits);
   ~Endpoints();
 
+  static constexpr std::size_t body_most = 65536;
+  static std::size_t bundled_bytes(std::string_view id, std::string_view mark, std::string_view body);
+
   std::function<void(const Outcome&)> on_outcome;
   std::function<bool(EndpointId)> may_still_go;
 
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -217,6 +217,7 @@
       read_on(false);
       return on_input_end();
     }
+    if (finishing_) continue;
     in_.append(piece, static_cast<std::size_t>(count));
     any = true;
     if (static_cast<std::size_t>(count) < sizeof piece) break;
@@ -225,9 +226,16 @@
 }
 
 void Stream::finish() {
-  finishing_ = true;
-  if (out_.empty()) ended();
-  else read_on(false);
+  if (fd_ < 0 || std::exchange(finishing_, true)) return;
+  on_input_end = nullptr;
+  read_on(true);
+  finish_sending();
+}
+
+// Guards against losing an answer just given: a close with unread bytes would reset the connection. What still
+// comes is read and dropped.
+void Stream::finish_sending() {
+  if (finishing_ && out_.empty() && fd_ >= 0) shutdown(fd_, SHUT_WR);
 }
 
 void Stream::ended() {
@@ -248,7 +256,7 @@
     return want();
   }
   if ((events & POLLOUT) && !write_some()) return ended();
-  if (finishing_ && out_.empty()) return ended();
+  finish_sending();
   want();
   if (events & (POLLIN | POLLHUP | POLLERR | POLLNVAL)) {
     if (!reading_ && (events & (POLLHUP | POLLERR | POLLNVAL))) return ended();
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -102,13 +102,14 @@
   void send(std::string_view bytes);
   std::size_t unsent() const { return out_.size(); }
   void read_on(bool wanted);  // off: the other side is left to wait
-  void finish();  // ends once what is unsent has gone
+  void finish();  // ends its own sending once what is unsent has gone, and itself when the other side does
   void close();
 
  private:
   void ready(short events) override;
   void read_some();
   bool write_some();
+  void finish_sending();
   void ended();
   void want();
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -112,8 +112,9 @@
   for (const auto& listed : list.entries) {
     auto fits = static_cast<std::size_t>(listed.entry.kind) < config_.settings.kinds.size();
     if (!fits) continue;
-    endpoints_.locate(listed.entry.endpoint, listed.address);
-    known_[listed.entry.endpoint] = listed.entry;
+    if (listed.address.port != 0) endpoints_.locate(listed.entry.endpoint, listed.address);
+    if (listed.entry.standing == Standing::listed) known_[listed.entry.endpoint] = listed.entry;
+    else known_.emplace(listed.entry.endpoint, listed.entry);
     entries.push_back(listed.entry);
   }
   decision_.list(entries, list.whole);
@@ -149,6 +150,7 @@
   auto printable = [](std::string_view text) {
     return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
   };
+  if (held.body.size() > Endpoints::body_most) return say("-ERR body too large\r\n");
   if (!config_.doc_types.count(held.doc_type) || left < 0 || !addressed || held.id.empty() || !printable(held.id) ||
       !printable(held.mark) || held.id.size() + held.mark.size() + held.order_key.size() + held.tenant.size() > 1024)
     return say("-ERR bad document\r\n");
@@ -238,8 +240,14 @@
 }
 
 void Relay::send(const std::vector<Transmit>& transmitted) {
-  // Transmissions of one turn to one endpoint make one call, up to the number its kind allows.
-  std::vector<std::pair<EndpointId, std::vector<Parcel>>> calls;
+  // Transmissions of one turn to one endpoint make one call, up to the number its kind allows, and to what the
+  // protocol lets a body hold.
+  struct Bundle {
+    EndpointId endpoint{};
+    std::vector<Parcel> parcels;
+    std::size_t bytes = 0;
+  };
+  std::vector<Bundle> calls;
   std::unordered_map<std::uint64_t, std::size_t> open;
   for (const auto& sent : transmitted) {
     auto found = store_.held().find(sent.doc);
@@ -247,16 +255,21 @@
     const Held& held = found->second;
     auto kind = static_cast<std::size_t>(known_.at(sent.endpoint).kind);
     auto most = static_cast<std::size_t>(std::max(1, config_.settings.kinds.at(kind).bundle_max));
-    auto place = open.find(static_cast<std::uint64_t>(sent.endpoint));
-    if (place == open.end() || calls[place->second].second.size() >= most) {
-      open[static_cast<std::uint64_t>(sent.endpoint)] = calls.size();
-      calls.push_back({sent.endpoint, {}});
-      place = open.find(static_cast<std::uint64_t>(sent.endpoint));
+    auto bytes = Endpoints::bundled_bytes(held.id, held.mark, held.body);
+    auto [place, fresh] = open.try_emplace(static_cast<std::uint64_t>(sent.endpoint), calls.size());
+    if (!fresh) {
+      const Bundle& before = calls[place->second];
+      if (before.parcels.size() >= most || before.bytes + bytes > Endpoints::body_most) fresh = true;
+    }
+    if (fresh) {
+      place->second = calls.size();
+      calls.push_back({sent.endpoint, {}, 0});
     }
-    calls[place->second].second.push_back(
-        {sent.doc, held.transmissions - 1, sent.time_out, held.id, held.mark, held.body});
+    Bundle& bundle = calls[place->second];
+    bundle.bytes += bytes;
+    bundle.parcels.push_back({sent.doc, held.transmissions - 1, sent.time_out, held.id, held.mark, held.body});
   }
-  for (const auto& [endpoint, parcels] : calls) endpoints_.call(endpoint, parcels);
+  for (const auto& bundle : calls) endpoints_.call(bundle.endpoint, bundle.parcels);
 }
 
 // A planned end: clients are served on while their connections still come, then each connection is closed
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -20,8 +20,8 @@
 
 // A record: its length and a check sum, then kind, document and the rest.
 constexpr std::size_t head_bytes = 8;
-constexpr std::size_t upkeep_bytes = 192;  // its head and its later records, as counted ahead
-constexpr std::size_t block_bytes = 512;
+constexpr std::size_t upkeep_bytes = 256;  // its head and its later records, as counted ahead
+constexpr std::size_t slack_bytes = 4096;  // files count in whole blocks
 
 template <typename Number>
 void put(std::string& to, Number number) {
@@ -123,10 +123,13 @@
   pending_ += record_of(kind, doc, rest);
 }
 
-// The old file stands beside the new one while it is compacted, so what is live may take less than half.
+// The old file stands beside the new one while it is compacted. So at any time the file, with what is pending, and
+// all that is live must fit together; and what is live, twice.
 bool Store::has_room(std::size_t bytes) {
-  auto wanted = live_bytes_ + bytes + 2 * upkeep_bytes + head_bytes;
-  return wanted * 2 + 4 * block_bytes < bytes_most_;
+  auto wanted = live_bytes_ + bytes + 2 * upkeep_bytes;
+  if (wanted * 2 + slack_bytes > bytes_most_) return false;
+  if (file_bytes_ + pending_.size() + wanted + slack_bytes > bytes_most_) return compact();
+  return true;
 }
 
 void Store::taken(DocId doc) {
@@ -180,7 +183,7 @@
 bool Store::flush() {
   if (pending_.empty()) return true;
   // Compaction writes the documents as they are now, with all that is pending.
-  if (fd_ < 0 || file_bytes_ + pending_.size() + live_bytes_ + 4 * block_bytes > bytes_most_) return compact();
+  if (fd_ < 0 || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > bytes_most_) return compact();
   auto size = pending_.size();
   bool written = write_all(fd_, pending_);
   pending_.clear();
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -136,10 +136,16 @@
         k.doc.has_key = words.count("key") > 0;
         k.doc.left = number(words, "left", set_.doc_types.at(std::size_t(k.doc.type)).lifetime);
         k.expiry = now_ + k.doc.left;
+        k.tries = k.doc.transmissions = int(of("tries"));
+        k.may_have_run = k.doc.may_have_run = words.count("ran") > 0;
+        k.doc.risked_ago = of("ran"), k.first_send = now_ - of("ran");
+        if (k.may_have_run && k.doc.has_key) rests_[k.doc.key] = now_ + set_.order_rest;
         known_[k.doc.id] = k;
         order_.push_back(k.doc.id);
         decision_->take(k.doc);
       }
+    } else if (verb == "leave") {
+      decision_->leave(of("within"));
     } else if (verb == "stall") {
       stalled_until_ = now_ + number(words, "for", 0);
     } else if (verb == "restart") {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -408,7 +408,8 @@
       for (int i = 0; i < count; ++i) {
         auto id = count > 1 ? plain.at(2) + std::to_string(i) : plain.at(2);
         auto list = "c=" + get("type", "plain") + ",d=" + get("left", "20000") + ",dest=" + get("for", "1");
-        if (words.count("k")) list += ",k=" + words.at("k");
+        for (const char* name : {"k", "t"})
+          if (words.count(name)) list += std::string(",") + name + "=" + words.at(name);
         auto body = get("body", "hello") + std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
         out += command({"ENQUEUE", get("key", "0000000000000000"), id, list, body});
       }
@@ -437,9 +438,11 @@
     if (what == "calls")
       count = [&] {
         std::size_t found = 0;
-        for (const auto& call : calls_)
+        for (const auto& call : calls_) {
+          if (words.count("before") && call[0] == words.at("before")) break;
           found += (plain.size() < 3 || call[0] == plain[2]) && (!words.count("at") || call[1] == words.at("at")) &&
                    (!words.count("says") || call[2].find(unescaped(words.at("says"))) != std::string::npos);
+        }
         return found;
       };
     else if (what == "batches") count = [&] { return batches_; };
