--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -220,8 +220,9 @@
       if (got.over) {
         close(doc);
       } else {
-        // The ladder, also where no slot or socket was free: base x 2^(try-1), varied; after a refusal by all of
-        // itself from the end of a told wait, so that what was refused together does not come again together.
+        // The ladder, also where no slot or socket was free: base x 2^(try-1), varied; after a refusal by all
+        // of itself from the end of a told wait, so that what was refused together does not come again
+        // together.
         Millis pause = ladder(++doc.failures);
         doc.not_before = now_ + (got.ending == Ending::refused ? drawn(0, 2) * pause : varied(pause));
         if (got.wait > 0 && !choose(doc, set_.slots + 1)) doc.not_before += got.wait;
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -30,7 +30,8 @@
 
 class Clients::Client {
  public:
-  Client(Clients& owner, std::uint64_t number, int fd) : owner_(owner), number_(number), stream_(owner.loop_, fd) {
+  Client(Clients& owner, std::uint64_t number, int fd)
+      : owner_(owner), number_(number), stream_(owner.loop_, fd) {
     used_at_ = owner_.loop_.now();
     stream_.on_data = [this] { read(); };
     stream_.on_end = [this] { owner_.ended(number_); };
@@ -143,7 +144,8 @@
   const Client* oldest = nullptr;
   std::uint64_t number = 0;
   for (const auto& [other, client] : clients_)
-    if (client->used_at() < loop_.now() && client->is_idle() && (!oldest || client->used_at() < oldest->used_at()))
+    if (client->used_at() < loop_.now() && client->is_idle() &&
+        (!oldest || client->used_at() < oldest->used_at()))
       oldest = client.get(), number = other;
   if (oldest) return ended(number);
   listener_->pause(true);
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -69,25 +69,25 @@
   list.version = answer.at("rev").get<std::int64_t>();
   list.whole = answer.at("all").get<bool>();
   for (const auto& target : answer.at("targets")) try {
-    Listed listed;
-    auto state = target.at("state").get<std::string>();
-    listed.entry.endpoint = EndpointId(hash_of(target.at("uid").get<std::string>()));
-    // One that drains or is gone may be told by its name alone.
-    bool needed = state == "Ready";
-    if (needed || target.contains("pod_group"))
-      listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
-    listed.entry.kind = number_of(kinds, target, "model");
-    listed.entry.hall = number_of(halls, target, "az");
-    listed.entry.standing = state == "Ready"  ? Standing::listed
-                            : state == "Gone" ? Standing::gone
-                                              : Standing::draining;
-    listed.entry.listed_rate = target.value("capacity_hint", 0.0);
-    if (needed || target.contains("endpoint"))
-      listed.address = address_of(target.at("endpoint").get<std::string>());
-    list.entries.push_back(std::move(listed));
-  } catch (const std::exception& error) {
-    log_line("list: an entry is left out: %s", error.what());  // the others still hold
-  }
+      Listed listed;
+      auto state = target.at("state").get<std::string>();
+      listed.entry.endpoint = EndpointId(hash_of(target.at("uid").get<std::string>()));
+      // One that drains or is gone may be told by its name alone.
+      bool needed = state == "Ready";
+      if (needed || target.contains("pod_group"))
+        listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
+      listed.entry.kind = number_of(kinds, target, "model");
+      listed.entry.hall = number_of(halls, target, "az");
+      listed.entry.standing = state == "Ready"  ? Standing::listed
+                              : state == "Gone" ? Standing::gone
+                                                : Standing::draining;
+      listed.entry.listed_rate = target.value("capacity_hint", 0.0);
+      if (needed || target.contains("endpoint"))
+        listed.address = address_of(target.at("endpoint").get<std::string>());
+      list.entries.push_back(std::move(listed));
+    } catch (const std::exception& error) {
+      log_line("list: an entry is left out: %s", error.what());  // the others still hold
+    }
   return list;
 }
 
@@ -114,8 +114,10 @@
   auto limits = json.value("limits", Json::object());
   auto sockets = limits.value("sockets", std::size_t{256});
   rlimit files{};
-  if (getrlimit(RLIMIT_NOFILE, &files) == 0) sockets = std::min(sockets, static_cast<std::size_t>(files.rlim_cur));
-  if (sockets < spare_descriptors + 4) throw std::runtime_error("too few sockets: " + std::to_string(sockets));
+  if (getrlimit(RLIMIT_NOFILE, &files) == 0)
+    sockets = std::min(sockets, static_cast<std::size_t>(files.rlim_cur));
+  if (sockets < spare_descriptors + 4)
+    throw std::runtime_error("too few sockets: " + std::to_string(sockets));
   config.client_connections = (sockets - spare_descriptors) / 2;
   config.endpoint_connections = sockets - spare_descriptors - config.client_connections;
   config.disk_bytes = static_cast<std::size_t>(limits.value("disk_mb", 1.0) * 1e6);
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -86,7 +86,8 @@
 
 void Watch::follow() {
   if (asker_.asking()) return;
-  if (std::exchange(first_, false)) return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
+  if (std::exchange(first_, false))
+    return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
   next();
 }
 
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -102,8 +102,8 @@
   void begin(const std::vector<Parcel>& parcels) {
     sent_at_ = owner_.loop_.now();
     for (const auto& parcel : parcels)
-      items_.push_back(
-          {parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out), std::string(parcel.id)});
+      items_.push_back({parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out),
+                        std::string(parcel.id)});
     several_ = parcels.size() > 1;
     request_ = request_of(parcels, host_);
     watch_time();
@@ -282,8 +282,7 @@
   if (connections_ < limits_.connections_most) return true;
   std::list<std::unique_ptr<Line>>* oldest = nullptr;
   for (auto& [endpoint, place] : places_)
-    if (!place.idle.empty() &&
-        (!oldest || place.idle.back()->idle_since() < oldest->back()->idle_since()))
+    if (!place.idle.empty() && (!oldest || place.idle.back()->idle_since() < oldest->back()->idle_since()))
       oldest = &place.idle;
   if (!oldest) return false;
   loop_.bury(std::move(oldest->back()));
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -57,11 +57,13 @@
 Loop::Loop() { refresh(); }
 
 Millis Loop::wall() {
-  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
 void Loop::refresh() {
-  now_ = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  now_ =
+      std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
 void Loop::add(int fd, short events, Handler* handler) {
@@ -97,7 +99,8 @@
       handlers_[i]->ready(polled_[i].revents);
     }
     auto last = timer_number_;
-    while (!timers_.empty() && timers_.begin()->first.first <= now_ && timers_.begin()->first.second <= last) {
+    while (!timers_.empty() && timers_.begin()->first.first <= now_ &&
+           timers_.begin()->first.second <= last) {
       Timer* timer = timers_.begin()->second;
       timer->clear();
       timer->due_();
@@ -142,7 +145,8 @@
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   auto at = to_sockaddr(to);
   if (connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 && errno != EINPROGRESS) {
-    lacks_descriptor_ = errno == EADDRNOTAVAIL || errno == EAGAIN;  // no port free: not the other side's doing
+    lacks_descriptor_ =
+        errno == EADDRNOTAVAIL || errno == EAGAIN;  // no port free: not the other side's doing
     ::close(std::exchange(fd_, -1));
     state_ = State::ended;
     return;
@@ -232,8 +236,8 @@
   finish_sending();
 }
 
-// Guards against losing an answer just given: a close with unread bytes would reset the connection. What still
-// comes is read and dropped.
+// Guards against losing an answer just given: a close with unread bytes would reset the connection. What
+// still comes is read and dropped.
 void Stream::finish_sending() {
   if (finishing_ && out_.empty() && fd_ >= 0) shutdown(fd_, SHUT_WR);
 }
@@ -265,7 +269,9 @@
 }
 
 Listener::Listener(Loop& loop, const Address& at, std::function<void(int)> taken)
-    : loop_(loop), taken_(std::move(taken)), again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
+    : loop_(loop),
+      taken_(std::move(taken)),
+      again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int on = 1;
   auto to = to_sockaddr(at);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -151,8 +151,9 @@
     return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
   };
   if (held.body.size() > Endpoints::body_most) return say("-ERR body too large\r\n");
-  if (!config_.doc_types.count(held.doc_type) || left < 0 || !addressed || held.id.empty() || !printable(held.id) ||
-      !printable(held.mark) || held.id.size() + held.mark.size() + held.order_key.size() + held.tenant.size() > 1024)
+  if (!config_.doc_types.count(held.doc_type) || left < 0 || !addressed || held.id.empty() ||
+      !printable(held.id) || !printable(held.mark) ||
+      held.id.size() + held.mark.size() + held.order_key.size() + held.tenant.size() > 1024)
     return say("-ERR bad document\r\n");
   begin();
   auto bytes = held.id.size() + held.mark.size() + held.body.size() + held.order_key.size() + 128;
@@ -182,7 +183,8 @@
   auto fresh = std::find_if(arrived_.begin(), arrived_.end(), [&](const auto& a) { return a.doc == doc; });
   if (fresh != arrived_.end()) {
     // Not yet taken on: the client hears it at once, and no notice is owed.
-    auto busy = wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) : std::string("-BUSY");
+    auto busy =
+        wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) : std::string("-BUSY");
     auto to = fresh->answer_to;
     arrived_.erase(fresh);
     store_.forget(doc);
@@ -240,8 +242,8 @@
 }
 
 void Relay::send(const std::vector<Transmit>& transmitted) {
-  // Transmissions of one turn to one endpoint make one call, up to the number its kind allows, and to what the
-  // protocol lets a body hold.
+  // Transmissions of one turn to one endpoint make one call, up to the number its kind allows, and to what
+  // the protocol lets a body hold.
   struct Bundle {
     EndpointId endpoint{};
     std::vector<Parcel> parcels;
@@ -267,7 +269,8 @@
     }
     Bundle& bundle = calls[place->second];
     bundle.bytes += bytes;
-    bundle.parcels.push_back({sent.doc, held.transmissions - 1, sent.time_out, held.id, held.mark, held.body});
+    bundle.parcels.push_back(
+        {sent.doc, held.transmissions - 1, sent.time_out, held.id, held.mark, held.body});
   }
   for (const auto& bundle : calls) endpoints_.call(bundle.endpoint, bundle.parcels);
 }
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -82,7 +82,8 @@
 
 }  // namespace
 
-Store::Store(std::string folder, std::size_t bytes_most) : folder_(std::move(folder)), bytes_most_(bytes_most) {
+Store::Store(std::string folder, std::size_t bytes_most)
+    : folder_(std::move(folder)), bytes_most_(bytes_most) {
   std::filesystem::create_directories(folder_);
   recover();
   if (!compact()) throw std::runtime_error("cannot write in the folder " + folder_);
@@ -119,12 +120,10 @@
   return rest;
 }
 
-void Store::note(char kind, DocId doc, std::string_view rest) {
-  pending_ += record_of(kind, doc, rest);
-}
+void Store::note(char kind, DocId doc, std::string_view rest) { pending_ += record_of(kind, doc, rest); }
 
-// The old file stands beside the new one while it is compacted. So at any time the file, with what is pending, and
-// all that is live must fit together; and what is live, twice.
+// The old file stands beside the new one while it is compacted. So at any time the file, with what is
+// pending, and all that is live must fit together; and what is live, twice.
 bool Store::has_room(std::size_t bytes) {
   auto wanted = live_bytes_ + bytes + 2 * upkeep_bytes;
   if (wanted * 2 + slack_bytes > bytes_most_) return false;
@@ -272,9 +271,7 @@
           held_.erase(found);
         }
       }
-    } catch (const Fault& fault) {
-      log_line("store: %s", fault.what());
-    }
+    } catch (const Fault& fault) { log_line("store: %s", fault.what()); }
   }
   if (at < bytes.size()) log_line("store: %zu bytes of a torn tail skipped", bytes.size() - at);
   if (!held_.empty()) log_line("store: %zu documents recovered", held_.size());
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -40,8 +40,8 @@
   Store& operator=(const Store&) = delete;
 
   std::map<DocId, Held>& held() { return held_; }
-  DocId add(Held document);             // held, but not yet written
-  bool has_room(std::size_t bytes);     // for one more document of this size; may compact
+  DocId add(Held document);          // held, but not yet written
+  bool has_room(std::size_t bytes);  // for one more document of this size; may compact
   void taken(DocId doc);
   void sent(DocId doc, int transmission, Millis at, HallId hall);
   void never_ran(DocId doc, int transmission);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -14,7 +14,9 @@
 
 }  // namespace
 
-std::string quoted(std::string_view text) { return std::string(1, '\'').append(text.substr(0, 60)).append(1, '\''); }
+std::string quoted(std::string_view text) {
+  return std::string(1, '\'').append(text.substr(0, 60)).append(1, '\'');
+}
 
 std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high) {
   std::int64_t value = 0;
@@ -57,7 +59,8 @@
 
 std::string_view Pairs::text(const std::string& path) const {
   auto found = values_.find(path);
-  return found == values_.end() || found->second == "-" ? std::string_view{} : std::string_view(found->second);
+  return found == values_.end() || found->second == "-" ? std::string_view{}
+                                                        : std::string_view(found->second);
 }
 
 double Pairs::number(const std::string& path, double absent) const {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -317,7 +317,8 @@
   } else if (parser == "http" || parser == "http-ended") {
     auto answer = read_answer(text, 64, parser == "http-ended");
     out << states[int(answer.state)] << " " << answer.status;
-    if (answer.size > 0) out << " [" << answer.body << "] " << answer.size << (answer.closes ? " closes" : "");
+    if (answer.size > 0)
+      out << " [" << answer.body << "] " << answer.size << (answer.closes ? " closes" : "");
   } else {
     out << base64(text);
   }
@@ -372,8 +373,7 @@
 std::vector<std::filesystem::path> scenarios() {
   std::vector<std::filesystem::path> found;
   for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS))
-    if (entry.path().extension() != ".txt")
-      found.push_back(entry.path());
+    if (entry.path().extension() != ".txt") found.push_back(entry.path());
   std::sort(found.begin(), found.end());
   return found;
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -107,7 +108,8 @@
   };
 
   static double now() {
-    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+        .count();
   }
   static double number(const Words& words, const char* name, double absent) {
     auto found = words.find(name);
@@ -140,9 +142,11 @@
       std::vector<pollfd> polled;
       if (!agent_silent_) polled.push_back({agent_, POLLIN, 0});
       for (auto& [name, endpoint] : endpoints_)
-        if (endpoint.listener >= 0 && endpoint.manner != "deaf") polled.push_back({endpoint.listener, POLLIN, 0});
+        if (endpoint.listener >= 0 && endpoint.manner != "deaf")
+          polled.push_back({endpoint.listener, POLLIN, 0});
       for (auto& [fd, peer] : peers_)
-        if (!peer.ended) polled.push_back({fd, static_cast<short>(POLLIN | (peer.out.empty() ? 0 : POLLOUT)), 0});
+        if (!peer.ended)
+          polled.push_back({fd, static_cast<short>(POLLIN | (peer.out.empty() ? 0 : POLLOUT)), 0});
       poll(polled.data(), polled.size(), 2);
       for (auto& one : polled)
         if (one.revents != 0) ready(one.fd, one.revents);
@@ -235,8 +239,10 @@
   void tell_list(int fd) {
     peers_.at(fd).watching = -1;
     auto body = list().dump();
-    later_.emplace(now(), Later{fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                                        body, false});
+    later_.emplace(
+        now(),
+        Later{fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+              false});
   }
 
   bool called(int fd, Peer& peer, const std::string& head, const std::string& body) {
@@ -254,7 +260,8 @@
     double after = now() + number(endpoint.how, "after", 0);
     if (manner == "reset") return drop(fd, true), false;
     if (manner == "silent") return true;
-    auto answer = endpoint.how.count("raw") ? unescaped(endpoint.how.at("raw")) : "HTTP/1.1 " + manner + " Said\r\n";
+    auto answer =
+        endpoint.how.count("raw") ? unescaped(endpoint.how.at("raw")) : "HTTP/1.1 " + manner + " Said\r\n";
     if (!endpoint.how.count("raw")) {
       std::string said;
       if (ids.size() > 1 && manner == "200") {
@@ -269,7 +276,8 @@
     bool close = endpoint.how.count("close") > 0;
     if (number(endpoint.how, "piecewise", 0) > 0)
       for (std::size_t i = 0; i < answer.size(); ++i)
-        later_.emplace(after + 2 * double(i), Later{fd, answer.substr(i, 1), close && i + 1 == answer.size()});
+        later_.emplace(after + 2 * double(i),
+                       Later{fd, answer.substr(i, 1), close && i + 1 == answer.size()});
     else later_.emplace(after, Later{fd, answer, close});
     return true;
   }
@@ -304,18 +312,21 @@
   void start(const Words& words) {
     auto state = folder_ + "/state";
     std::filesystem::create_directories(state);
-    Json config{{"name", "r1"},
-                {"listen", at(relay_port_)},
-                {"discovery", at(port_of(agent_))},
-                {"seed", "7"},
-                {"limits", {{"sockets", number(words, "sockets", 200)}, {"disk_mb", number(words, "disk", 1)}}},
-                {"known", list()},
-                {"settings", settings_}};
+    Json config{
+        {"name", "r1"},
+        {"listen", at(relay_port_)},
+        {"discovery", at(port_of(agent_))},
+        {"seed", "7"},
+        {"limits", {{"sockets", number(words, "sockets", 200)}, {"disk_mb", number(words, "disk", 1)}}},
+        {"known", list()},
+        {"settings", settings_}};
     auto path = folder_ + "/config.json";
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     auto files = static_cast<rlim_t>(number(words, "files", 0));
+    end_process(SIGKILL);
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // no relay outlives the tests
       setenv("BALANCER_CONFIG", path.c_str(), 1), setenv("BALANCER_STATE", state.c_str(), 1);
       int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
       dup2(log, 1), dup2(log, 2), ::close(log);
@@ -376,9 +387,14 @@
         auto told = [&](const char* name, const char* absent) {
           return words.count(name) ? words.at(name) : std::string(absent);
         };
-        endpoint.entry = {{"uid", plain[1]}, {"endpoint", at(endpoint.port)}, {"az", "h0"},
-                          {"model", told("kind", "m0")}, {"pod_group", int(number(words, "for", 1))},
-                          {"state", told("state", "Ready")}, {"capacity_hint", 1.0}, {"boot_ms", 0}};
+        endpoint.entry = {{"uid", plain[1]},
+                          {"endpoint", at(endpoint.port)},
+                          {"az", "h0"},
+                          {"model", told("kind", "m0")},
+                          {"pod_group", int(number(words, "for", 1))},
+                          {"state", told("state", "Ready")},
+                          {"capacity_hint", 1.0},
+                          {"boot_ms", 0}};
         ++revision_;
         for (auto& [fd, peer] : peers_)
           if (peer.agent && peer.watching >= 0 && peer.watching < revision_) tell_list(fd);
@@ -410,16 +426,16 @@
         auto list = "c=" + get("type", "plain") + ",d=" + get("left", "20000") + ",dest=" + get("for", "1");
         for (const char* name : {"k", "t"})
           if (words.count(name)) list += std::string(",") + name + "=" + words.at(name);
-        auto body = get("body", "hello") + std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
+        auto body =
+            get("body", "hello") + std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
         out += command({"ENQUEUE", get("key", "0000000000000000"), id, list, body});
       }
       say(plain.at(1), out);
     } else if (verb == "hear") {
       auto wanted = rest_of(2);
       int fd = client(plain.at(1));
-      bool heard = pump(1500, [&] {
-        return wanted == "END" ? peers_[fd].ended : peers_[fd].in.rfind(wanted, 0) == 0;
-      });
+      bool heard = pump(
+          1500, [&] { return wanted == "END" ? peers_[fd].ended : peers_[fd].in.rfind(wanted, 0) == 0; });
       EXPECT_TRUE(heard) << "heard instead: " << peers_[fd].in << "; log: " << log();
       if (heard && wanted != "END") peers_[fd].in.erase(0, wanted.size());
     } else if (verb == "expect") {
@@ -440,7 +456,8 @@
         std::size_t found = 0;
         for (const auto& call : calls_) {
           if (words.count("before") && call[0] == words.at("before")) break;
-          found += (plain.size() < 3 || call[0] == plain[2]) && (!words.count("at") || call[1] == words.at("at")) &&
+          found += (plain.size() < 3 || call[0] == plain[2]) &&
+                   (!words.count("at") || call[1] == words.at("at")) &&
                    (!words.count("says") || call[2].find(unescaped(words.at("says"))) != std::string::npos);
         }
         return found;
@@ -456,7 +473,8 @@
                      (!words.count("status") || one.at("status") == words.at("status"));
         return found;
       };
-    else if (what == "log") count = [&] { return std::size_t(log().find(unescaped(words.at("says"))) != std::string::npos); };
+    else if (what == "log")
+      count = [&] { return std::size_t(log().find(unescaped(words.at("says"))) != std::string::npos); };
     else if (what == "exit") {
       EXPECT_TRUE(pump(within, [&] { return has_ended(); })) << log();
       EXPECT_TRUE(WIFEXITED(status_) && WEXITSTATUS(status_) == int(number(words, "code", 0)))
