--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -1,3 +1,5 @@
+// The simulator's lines, taken apart and put together; wire.h says what it owns. It decides nothing.
+
 #include "adapter/wire.h"
 
 #include <algorithm>
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -1,3 +1,6 @@
+// One object a client's connection, kept in the order of its commands; clients.h says what it owns. Nothing
+// here may wait for a client, nor let one hold up another.
+
 #include "relay/clients.h"
 
 #include <unistd.h>
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -1,3 +1,6 @@
+// Reads the environment and the configuration file; config.h says what it owns. What is missing or wrong ends
+// in an exception with a plain text, never in a guess.
+
 #include "relay/config.h"
 
 #include <sys/resource.h>
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -1,3 +1,6 @@
+// Requests to the agent, one at a time on each connection; discovery.h says what it owns. Nothing here may
+// judge an endpoint by what the list says.
+
 #include "relay/discovery.h"
 
 #include <algorithm>
@@ -20,9 +23,10 @@
 void Asker::ask(std::string request, Millis within) {
   request_ = std::move(request);
   asking_ = true;
-  timer_.set(loop_.now() + within);
+  until_ = loop_.now() + within;
   kept_ = stream_ && stream_->state() == Stream::State::up;
   if (!kept_) return open();
+  timer_.set(until_);
   stream_->send(request_);
 }
 
@@ -31,8 +35,9 @@
   stream_ = std::make_unique<Stream>(loop_, agent_);
   stream_->on_data = [this] { read(false); };
   stream_->on_end = [this] { read(true); };
-  if (stream_->state() == Stream::State::ended) timer_.set(loop_.now());
-  else stream_->send(request_);
+  bool stillborn = stream_->state() == Stream::State::ended;
+  timer_.set(stillborn ? loop_.now() : until_);
+  if (!stillborn) stream_->send(request_);
 }
 
 void Asker::drop() {
@@ -44,8 +49,7 @@
 
 void Asker::fail() {
   drop();
-  if (!std::exchange(asking_, false)) return;
-  on_failure();
+  if (std::exchange(asking_, false)) on_failure();
 }
 
 void Asker::read(bool ended) {
@@ -54,30 +58,28 @@
   if (answer.state == HttpAnswer::State::partial && !ended) return;
   if (answer.state != HttpAnswer::State::whole) {
     // The agent may have closed a kept connection just then: asked once more on a new one.
-    if (ended && std::exchange(kept_, false) && stream_->received().empty()) {
-      auto left = answer_within;
-      open();
-      if (!timer_.is_set()) timer_.set(loop_.now() + left);
-      return;
-    }
+    if (ended && std::exchange(kept_, false) && stream_->received().empty()) return open();
     return fail();
   }
   asking_ = false;
   timer_.clear();
+  // The answer is slices of the stream's buffer, so that goes only after it has been taken in.
   if (answer.closes || ended) {
-    answer.headers.clear();  // slices of the buffer that goes with the connection
-    drop();
-  } else {
-    stream_->consume(answer.size);
+    auto done = std::move(stream_);
+    done->close();
+    on_answer(answer);
+    return loop_.bury(std::move(done));
   }
+  Stream* stream = stream_.get();  // lives to the end of the round, even if dropped meanwhile
   on_answer(answer);
+  stream->consume(answer.size);
 }
 
 Watch::Watch(Loop& loop, const Address& agent) : asker_(loop, agent) {
   asker_.on_failure = [this] { on_failure(); };
   asker_.on_answer = [this](const HttpAnswer& answer) {
-    if (answer.status != 200 || !on_list(answer.body)) {
-      log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body.size());
+    if (answer.status != 200 || !on_list(answer.body())) {
+      log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
       return on_failure();
     }
     next();  // at once, or changes in between are lost to the watch
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "decision/decision.h"
@@ -19,7 +20,7 @@
 class Asker {
  public:
   Asker(Loop& loop, const Address& agent) : loop_(loop), agent_(agent), timer_(loop, [this] { fail(); }) {}
-  std::function<void(const HttpAnswer&)> on_answer;
+  std::function<void(const HttpAnswer&)> on_answer;  // may ask again
   std::function<void()> on_failure;
   void ask(std::string request, Millis within);
   bool asking() const { return asking_; }
@@ -36,13 +37,14 @@
   Timer timer_;
   std::unique_ptr<Stream> stream_;
   std::string request_;
+  Millis until_ = 0;
   bool asking_ = false, kept_ = false;
 };
 
 class Watch {
  public:
   Watch(Loop& loop, const Address& agent);
-  std::function<bool(const std::string& body)> on_list;  // takes in an answer; false: it cannot be read
+  std::function<bool(std::string_view body)> on_list;  // takes in an answer; false: it cannot be read
   std::function<void()> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
   void follow();
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -1,3 +1,6 @@
+// One object a connection, busy with a call or idle; endpoints.h says what it owns. The last byte written
+// tells whether a call that came to nothing may have run; nothing here may send one twice.
+
 #include "relay/endpoints.h"
 
 #include <algorithm>
@@ -216,7 +219,7 @@
     }
     auto all = verdict_of(answer);
     if (!several_ || answer.status != 200) return end_all(all, wait, hints);
-    auto states = nlohmann::json::parse(answer.body, nullptr, false);
+    auto states = nlohmann::json::parse(answer.body(), nullptr, false);
     std::map<std::string, Verdict> verdicts;
     for (const auto& state : states.is_array() ? states : nlohmann::json::array())
       if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
--- a/src/relay/http.cpp
+++ b/src/relay/http.cpp
@@ -1,3 +1,6 @@
+// The reading of answers; http.h says what it owns. It may never read past the buffer, nor wait for more than
+// the bounds allow.
+
 #include "relay/http.h"
 
 #include <cctype>
@@ -100,19 +103,19 @@
   }
   auto length = answer.header("Content-Length");
   if (same_word(answer.header("Transfer-Encoding"), "chunked")) {
-    auto state = read_chunks(buffer, at, body_most, answer.body);
+    auto state = read_chunks(buffer, at, body_most, answer.chunks);
     if (state != State::whole) return as(state);
   } else if (!length.empty()) {
     auto size = to_size(length, 10);
     if (!size || *size > body_most) return as(State::malformed);
     if (buffer.size() < at + *size) return as(State::partial);
-    answer.body = std::string(buffer.substr(at, *size));
+    answer.slice = buffer.substr(at, *size);
     at += *size;
   } else if (answer.status != 204 && answer.status != 304) {
     answer.closes = true;
     if (buffer.size() - at > body_most) return as(State::malformed);
     if (!connection_ended) return as(State::partial);
-    answer.body = std::string(buffer.substr(at));
+    answer.slice = buffer.substr(at);
     at = buffer.size();
   }
   answer.size = at;
--- a/src/relay/http.h
+++ b/src/relay/http.h
@@ -1,5 +1,6 @@
-// Owns the reading of HTTP/1.1 answers and the writing of requests, for every party that speaks it. It must
-// never open a connection nor judge what an answer means.
+// Owns the reading of HTTP/1.1 answers, for every party that speaks it. An answer is slices of the buffer
+// given; only a body that came in chunks is put together. It must never open a connection nor judge what an
+// answer means.
 #pragma once
 
 #include <cstddef>
@@ -15,10 +16,12 @@
   State state = State::partial;
   int status = 0;  // known before the whole is there, once the first line is
   std::vector<std::pair<std::string_view, std::string_view>> headers;
-  std::string body;      // put together here, as it may come in chunks
+  std::string_view slice;  // the body, unless it came in chunks
+  std::string chunks;
   std::size_t size = 0;  // bytes of the buffer it took
   bool closes = false;   // the connection carries nothing after it
 
+  std::string_view body() const { return chunks.empty() ? slice : std::string_view(chunks); }
   std::string_view header(std::string_view name) const;
 };
 
--- a/src/relay/log.cpp
+++ b/src/relay/log.cpp
@@ -1,3 +1,5 @@
+// The one function that logs; log.h says what it owns. It must never fail or block for long.
+
 #include "relay/log.h"
 
 #include <chrono>
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -1,3 +1,6 @@
+// poll(2), timers, streams, listener and signals; loop.h says what they own. Every descriptor is opened by
+// one object here and closed by the same; nothing here may look into the bytes.
+
 #include "relay/loop.h"
 
 #include <arpa/inet.h>
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,3 +1,6 @@
+// The turns of one relay; relay.h says what it owns. The order in settle() is a promise to clients and
+// endpoints: what outlives the process comes first. No wait, retry or choice may be made here.
+
 #include "relay/relay.h"
 
 #include <algorithm>
@@ -41,7 +44,7 @@
     begin();
     decision_.list_failed();
   };
-  watch_.on_list = [this](const std::string& body) {
+  watch_.on_list = [this](std::string_view body) {
     try {
       take_list(config_.to_list(nlohmann::json::parse(body)));
       return true;
--- a/src/relay/resp.cpp
+++ b/src/relay/resp.cpp
@@ -1,3 +1,6 @@
+// The reading of commands; resp.h says what it owns. It may never read past the buffer, nor wait for more
+// than the bounds allow.
+
 #include "relay/resp.h"
 
 #include <charconv>
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -1,3 +1,6 @@
+// The file: a log of records, written anew when it would grow too large; store.h says what it owns. A record
+// that cannot be read may never stop the relay or undo what came before it.
+
 #include "relay/store.h"
 
 #include <fcntl.h>
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,3 +1,5 @@
+// How texts become settings, hints and ids; settings.h says what it owns. No figure is made up here.
+
 #include "settings/settings.h"
 
 #include <algorithm>
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -318,7 +318,7 @@
     auto answer = read_answer(text, 64, parser == "http-ended");
     out << states[int(answer.state)] << " " << answer.status;
     if (answer.size > 0)
-      out << " [" << answer.body << "] " << answer.size << (answer.closes ? " closes" : "");
+      out << " [" << answer.body() << "] " << answer.size << (answer.closes ? " closes" : "");
   } else {
     out << base64(text);
   }
