Cut the store's file back after a failed write, and write it anew before adding to it

A disk that takes no more left half a record, behind which later ones were not found again at a restart (Store::flush appended on); now the file is cut back and compacted first. SIGXFSZ no longer ends the process.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -1,7 +1,7 @@
 // All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin,
-// list, take, outcome, withdraw, leave) and calls decide(), which goes through the ordered rules at the end of
-// this file until none fires and answers what to send, reject or abandon, and when to be called again at the
-// latest. docs/design.md says which parts are the design's and under which condition each departure acts.
+// list, take, outcome, withdraw, leave) and calls decide(), which goes through the ordered rules at the end
+// of this file until none fires and answers what to send, reject or abandon, and when to be called again at
+// the latest. docs/design.md says which parts are the design's and under which condition each departure acts.
 #include "decision/decision.h"
 
 #include <algorithm>
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -323,6 +323,7 @@
   sigaction(SIGTERM, &action, nullptr);
   sigaction(SIGINT, &action, nullptr);
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);
   loop_.add(ends_[0], POLLIN, this);
 }
 
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -140,7 +140,8 @@
   Timer again_;
 };
 
-// SIGTERM and SIGINT, brought into the loop through a pipe; SIGPIPE is ignored. One in a process.
+// SIGTERM and SIGINT, brought into the loop through a pipe; those that a failed write would raise are
+// ignored. One in a process.
 class Signals : public Handler {
  public:
   Signals(Loop& loop, std::function<void()> asked_to_end);
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -183,15 +183,18 @@
 }
 
 bool Store::flush() {
-  if (pending_.empty()) return true;
+  if (pending_.empty() && !behind_) return true;
   // Compaction writes the documents as they are now, with all that is pending.
-  if (fd_ < 0 || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > bytes_most_) return compact();
-  auto size = pending_.size();
+  if (behind_ || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > bytes_most_) return compact();
   bool written = write_all(fd_, pending_);
+  if (written) file_bytes_ += pending_.size();
   pending_.clear();
-  if (!written) return compact();
-  file_bytes_ += size;
-  return true;
+  if (written) return true;
+  // Guards against a record half written on a full disk, behind which no later one would be found again.
+  log_line("store: cannot add to the file: %s", std::strerror(errno));
+  behind_ = true;
+  if (ftruncate(fd_, static_cast<off_t>(file_bytes_)) != 0) log_line("store: cannot cut the file back");
+  return compact();
 }
 
 bool Store::compact() {
@@ -211,7 +214,7 @@
     return false;
   }
   if (fd_ >= 0) ::close(fd_);
-  fd_ = fd, file_bytes_ = bytes.size();
+  fd_ = fd, file_bytes_ = bytes.size(), behind_ = false;
   pending_.clear();
   return true;
 }
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -61,6 +61,7 @@
   std::uint64_t last_ = 0;
   std::string pending_;
   int fd_ = -1;
+  bool behind_ = false;  // a write failed: the file must be written anew before it is added to
   std::size_t file_bytes_ = 0, live_bytes_ = 0;
 };
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -323,6 +323,7 @@
     auto path = folder_ + "/config.json";
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     auto files = static_cast<rlim_t>(number(words, "files", 0));
+    auto largest = static_cast<rlim_t>(number(words, "file_bytes", 0));
     end_process(SIGKILL);
     pid_ = fork();
     if (pid_ == 0) {
@@ -330,8 +331,9 @@
       setenv("BALANCER_CONFIG", path.c_str(), 1), setenv("BALANCER_STATE", state.c_str(), 1);
       int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
       dup2(log, 1), dup2(log, 2), ::close(log);
-      rlimit limit{files, files};
+      rlimit limit{files, files}, size{largest, largest};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
+      if (largest > 0) setrlimit(RLIMIT_FSIZE, &size);
       execl(PROGRAM, PROGRAM, words.count("run") ? words.at("run").c_str() : "serve", nullptr);
       _exit(127);
     }
