--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -190,10 +190,10 @@
   if (written) file_bytes_ += pending_.size();
   pending_.clear();
   if (written) return true;
-  // Guards against a record half written on a full disk, behind which no later one would be found again.
+  // Guards against a record half written on a full disk, behind which no later one would be found again:
+  // nothing more is added to this file.
   log_line("store: cannot add to the file: %s", std::strerror(errno));
   behind_ = true;
-  if (ftruncate(fd_, static_cast<off_t>(file_bytes_)) != 0) log_line("store: cannot cut the file back");
   return compact();
 }
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -118,13 +118,17 @@
   static int listen_on(int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in at{};
-    at.sin_family = AF_INET, at.sin_port = htons(static_cast<std::uint16_t>(port));
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto at = loopback(port);
     EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
     EXPECT_EQ(listen(fd, 64), 0);
     return fd;
   }
+  static sockaddr_in loopback(int port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(static_cast<std::uint16_t>(port));
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return at;
+  }
   static int port_of(int fd) {
     sockaddr_in at{};
     socklen_t size = sizeof at;
@@ -282,12 +286,21 @@
     return true;
   }
 
+  // Connections of nobody, until no further one comes up.
+  void fill_queue(const Endpoint& endpoint) {
+    listen(endpoint.listener, 0);
+    for (int i = 0; i < 2; ++i) {
+      int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      auto to = loopback(endpoint.port);
+      connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
+      peers_[fd].client = true;
+    }
+  }
+
   int client(const std::string& name) {
     if (auto found = clients_.find(name); found != clients_.end()) return found->second;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in to{};
-    to.sin_family = AF_INET, to.sin_port = htons(static_cast<std::uint16_t>(relay_port_));
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto to = loopback(relay_port_);
     if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
       ::close(fd);
       return -1;
@@ -384,6 +397,7 @@
       }
       if (!down && endpoint.listener < 0) endpoint.listener = listen_on(endpoint.port);
       if (plain.size() > 2) endpoint.manner = plain[2];
+      if (endpoint.manner == "deaf") fill_queue(endpoint);
       endpoint.how = words;
       if (endpoint.entry.is_null() || words.count("state")) {
         auto told = [&](const char* name, const char* absent) {
