--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -424,7 +424,10 @@
     } else if (verb == "tear") {
       auto path = folder_ + "/state/held";
       auto size = std::filesystem::file_size(path);
-      std::filesystem::resize_file(path, size - std::stoul(plain.at(1)));
+      auto bytes = std::stoul(plain.at(1));
+      std::filesystem::resize_file(path, size - bytes);
+      if (words.count("smear"))
+        std::ofstream(path, std::ios::app | std::ios::binary) << std::string(bytes, '#');
     } else if (verb == "wait") {
       pump(std::stod(plain.at(1)), [] { return false; });
     } else if (verb == "say") {
