Give a call held back by a failed store its outcome, also where its document is given back

Found in reading: Relay::settle forgot the documents of a turn that could not be stored before it reported their calls, so the module kept counting them as out and each such turn cost a slot for good. Now the outcomes come first.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -215,18 +215,10 @@
     store_.sent(sent.doc, found->second.transmissions, wall, known_.at(sent.endpoint).hall);
   }
   bool kept = store_.flush();
+  if (!kept) hold_back(decided.transmitted);
   answer_arrived(kept);
   for (EndpointId endpoint : decided.closed) endpoints_.close_idle(endpoint);
   if (kept) send(decided.transmitted);
-  else
-    for (const auto& sent : decided.transmitted)
-      if (auto found = store_.held().find(sent.doc); found != store_.held().end()) {
-        Outcome outcome;
-        outcome.doc = sent.doc, outcome.endpoint = sent.endpoint, outcome.ending = Ending::not_sent;
-        outcome.transmission = found->second.transmissions - 1;
-        store_.never_ran(sent.doc, outcome.transmission);
-        not_sent_.push_back(outcome);
-      }
   for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
   if (decided.follow_list) watch_.follow();
   if (!turn_open_ && (decided.wake_in >= 0 || !not_sent_.empty())) {
@@ -235,6 +227,20 @@
   }
 }
 
+// The store could not note these, so they do not go. Each still has its outcome, also of a document about to be
+// given back: the module counts its calls by them, and would otherwise hold its slot for ever.
+void Relay::hold_back(const std::vector<Transmit>& transmitted) {
+  for (const auto& sent : transmitted) {
+    auto found = store_.held().find(sent.doc);
+    if (found == store_.held().end()) continue;
+    Outcome outcome;
+    outcome.doc = sent.doc, outcome.endpoint = sent.endpoint, outcome.ending = Ending::not_sent;
+    outcome.transmission = found->second.transmissions - 1;
+    store_.never_ran(sent.doc, outcome.transmission);
+    not_sent_.push_back(outcome);
+  }
+}
+
 void Relay::answer_arrived(bool kept) {
   for (const auto& one : std::exchange(arrived_, {})) {
     clients_.answer(one.answer_to, kept ? "+OK\r\n" : "-BUSY\r\n");
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -39,6 +39,7 @@
   void recover();
   void begin();   // opens a turn, if none is open
   void settle();  // ends the turn: asks the module, notes, answers, sends
+  void hold_back(const std::vector<Transmit>& transmitted);
   void answer_arrived(bool kept);
   void end(DocId doc, bool rejected, Millis wait);
   void send(const std::vector<Transmit>& transmitted);
