Let one function say what a record makes of the held documents, noted or read again

Store::sent, never_ran, ended and forget each changed a document themselves, and recover did the same once more from the records, in a loop of its own four levels deep; layouts of a send, an end and the texts stood two or three times.

--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -38,6 +38,21 @@
   to.append(text);
 }
 
+void put_sent(std::string& to, const Held::Sent& sent) {
+  put(to, static_cast<std::int32_t>(sent.transmission));
+  put(to, sent.at);
+  put(to, static_cast<std::uint32_t>(sent.hall));
+}
+
+void put_end(std::string& to, bool rejected, Millis wait) {
+  put(to, static_cast<char>(rejected));
+  put(to, wait);
+}
+
+// The texts of a document, in the order of its record.
+constexpr std::string Held::*texts[] = {&Held::id,        &Held::mark,     &Held::body,
+                                        &Held::order_key, &Held::doc_type, &Held::tenant};
+
 class Reader {
  public:
   explicit Reader(std::string_view bytes) : rest_(bytes) {}
@@ -56,6 +71,12 @@
     rest_.remove_prefix(size);
     return value;
   }
+  Held::Sent sent() {
+    auto transmission = number<std::int32_t>();
+    auto at = number<double>();
+    return {transmission, at, HallId(number<std::uint32_t>())};
+  }
+  std::string_view rest() const { return rest_; }
 
  private:
   std::string_view rest_;
@@ -106,25 +127,17 @@
 
 std::string Store::whole(const Held& document) const {
   std::string rest;
-  for (const auto* text : {&document.id, &document.mark, &document.body, &document.order_key,
-                           &document.doc_type, &document.tenant})
-    put_text(rest, *text);
+  for (auto text : texts) put_text(rest, document.*text);
   put(rest, static_cast<std::uint64_t>(document.destination));
   put(rest, document.expiry);
   put(rest, static_cast<std::int32_t>(document.transmissions));
   put(rest, static_cast<std::uint32_t>(document.unproven.size()));
-  for (const auto& sent : document.unproven) {
-    put(rest, static_cast<std::int32_t>(sent.transmission));
-    put(rest, sent.at);
-    put(rest, static_cast<std::uint32_t>(sent.hall));
-  }
-  put(rest, static_cast<char>(document.ended)), put(rest, static_cast<char>(document.rejected));
-  put(rest, document.reject_wait);
+  for (const auto& sent : document.unproven) put_sent(rest, sent);
+  put(rest, static_cast<char>(document.ended));
+  put_end(rest, document.rejected, document.reject_wait);
   return rest;
 }
 
-void Store::note(char kind, DocId doc, std::string_view rest) { pending_ += record_of(kind, doc, rest); }
-
 // The old file stands beside the new one while it is compacted. So at any time the file, with what is
 // pending, and all that is live must fit together; and what is live, twice.
 bool Store::has_room(std::size_t bytes) {
@@ -137,49 +150,34 @@
 void Store::taken(DocId doc) {
   Held& document = held_.at(doc);
   document.noted = true;
-  note('T', doc, whole(document));
+  pending_ += record_of('T', doc, whole(document));
 }
 
 void Store::sent(DocId doc, int transmission, Millis at, HallId hall) {
-  Held& document = held_.at(doc);
-  document.transmissions = std::max(document.transmissions, transmission + 1);
-  document.unproven.push_back({transmission, at, hall});
   std::string rest;
-  put(rest, static_cast<std::int32_t>(transmission));
-  put(rest, at);
-  put(rest, static_cast<std::uint32_t>(hall));
-  note('S', doc, rest);
+  put_sent(rest, {transmission, at, hall});
+  change('S', doc, rest);
 }
 
 void Store::never_ran(DocId doc, int transmission) {
-  auto found = held_.find(doc);
-  if (found == held_.end()) return;
-  auto& unproven = found->second.unproven;
-  unproven.erase(std::remove_if(unproven.begin(), unproven.end(),
-                                [&](const auto& sent) { return sent.transmission == transmission; }),
-                 unproven.end());
   std::string rest;
   put(rest, static_cast<std::int32_t>(transmission));
-  note('N', doc, rest);
+  change('N', doc, rest);
 }
 
 void Store::ended(DocId doc, bool rejected, Millis wait) {
-  Held& document = held_.at(doc);
-  document.ended = true, document.rejected = rejected, document.reject_wait = wait;
-  document.body.clear();
   std::string rest;
-  put(rest, static_cast<char>(rejected));
-  put(rest, wait);
-  note('E', doc, rest);
+  put_end(rest, rejected, wait);
+  change('E', doc, rest);
 }
 
-void Store::forget(DocId doc) {
+void Store::forget(DocId doc) { change('F', doc, {}); }
+
+void Store::change(char kind, DocId doc, std::string_view rest) {
   auto found = held_.find(doc);
   if (found == held_.end()) return;
-  live_bytes_ -= found->second.bytes;
-  bool noted = found->second.noted;
-  held_.erase(found);
-  if (noted) note('F', doc, {});
+  if (found->second.noted) pending_ += record_of(kind, doc, rest);
+  apply(kind, doc, rest);
 }
 
 bool Store::flush() {
@@ -238,49 +236,48 @@
       char kind = reader.number<char>();
       DocId doc{reader.number<std::uint64_t>()};
       last_ = std::max(last_, static_cast<std::uint64_t>(doc));
-      if (kind == 'T') {
-        Held document;
-        for (auto* text : {&document.id, &document.mark, &document.body, &document.order_key,
-                           &document.doc_type, &document.tenant})
-          *text = reader.text();
-        document.destination = DestinationId(reader.number<std::uint64_t>());
-        document.expiry = reader.number<double>();
-        document.transmissions = reader.number<std::int32_t>();
-        for (auto count = reader.number<std::uint32_t>(); count > 0; --count) {
-          auto transmission = reader.number<std::int32_t>();
-          auto when = reader.number<double>();
-          document.unproven.push_back({transmission, when, HallId(reader.number<std::uint32_t>())});
-        }
-        document.ended = reader.number<char>() != 0, document.rejected = reader.number<char>() != 0;
-        document.reject_wait = reader.number<double>();
-        document.bytes = inner.size() + upkeep_bytes, document.noted = true;
-        live_bytes_ += document.bytes;
-        held_[doc] = std::move(document);
-      } else if (auto found = held_.find(doc); found != held_.end()) {
-        Held& document = found->second;
-        if (kind == 'S') {
-          auto transmission = reader.number<std::int32_t>();
-          auto when = reader.number<double>();
-          document.unproven.push_back({transmission, when, HallId(reader.number<std::uint32_t>())});
-          document.transmissions = std::max(document.transmissions, transmission + 1);
-        } else if (kind == 'N') {
-          auto transmission = reader.number<std::int32_t>();
-          auto& sent = document.unproven;
-          sent.erase(std::remove_if(sent.begin(), sent.end(),
-                                    [&](const auto& one) { return one.transmission == transmission; }),
-                     sent.end());
-        } else if (kind == 'E') {
-          document.ended = true, document.rejected = reader.number<char>() != 0;
-          document.reject_wait = reader.number<double>();
-        } else if (kind == 'F') {
-          live_bytes_ -= document.bytes;
-          held_.erase(found);
-        }
-      }
+      apply(kind, doc, reader.rest());
     } catch (const Fault& fault) { log_line("store: %s", fault.what()); }
   }
   if (at < bytes.size()) log_line("store: %zu bytes of a torn tail skipped", bytes.size() - at);
   if (!held_.empty()) log_line("store: %zu documents recovered", held_.size());
 }
 
+// What a record makes of the documents held: the same as it is noted and as it is read again.
+void Store::apply(char kind, DocId doc, std::string_view rest) {
+  Reader reader(rest);
+  if (kind == 'T') {
+    Held document;
+    for (auto text : texts) document.*text = reader.text();
+    document.destination = DestinationId(reader.number<std::uint64_t>());
+    document.expiry = reader.number<double>();
+    document.transmissions = reader.number<std::int32_t>();
+    for (auto count = reader.number<std::uint32_t>(); count > 0; --count)
+      document.unproven.push_back(reader.sent());
+    document.ended = reader.number<char>() != 0, document.rejected = reader.number<char>() != 0;
+    document.reject_wait = reader.number<double>();
+    document.bytes = sizeof kind + sizeof doc + rest.size() + upkeep_bytes, document.noted = true;
+    live_bytes_ += document.bytes;
+    held_[doc] = std::move(document);
+    return;
+  }
+  auto found = held_.find(doc);
+  if (found == held_.end()) return;
+  Held& document = found->second;
+  if (kind == 'S') {
+    document.unproven.push_back(reader.sent());
+    document.transmissions = std::max(document.transmissions, document.unproven.back().transmission + 1);
+  } else if (kind == 'N') {
+    auto transmission = reader.number<std::int32_t>();
+    std::erase_if(document.unproven, [&](const auto& one) { return one.transmission == transmission; });
+  } else if (kind == 'E') {
+    document.ended = true, document.rejected = reader.number<char>() != 0;
+    document.reject_wait = reader.number<double>();
+    document.body.clear();
+  } else if (kind == 'F') {
+    live_bytes_ -= document.bytes;
+    held_.erase(found);
+  }
+}
+
 }  // namespace rockcrank
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -52,7 +52,8 @@
  private:
   void recover();
   bool compact();
-  void note(char kind, DocId doc, std::string_view rest);
+  void change(char kind, DocId doc, std::string_view rest);  // notes and applies
+  void apply(char kind, DocId doc, std::string_view rest);
   std::string whole(const Held& document) const;
 
   const std::string folder_;
