--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -33,9 +33,7 @@
 
 std::string_view Fields::word(const char* what) {
   if (rest_.empty()) throw Fault(std::string(what) + " is missing");
-  auto space = rest_.find(' ');
-  auto found = rest_.substr(0, space);
-  rest_ = space == std::string_view::npos ? std::string_view{} : rest_.substr(space + 1);
+  auto found = cut(rest_, ' ');
   if (found.empty()) throw Fault(std::string(what) + " is empty");
   return found;
 }
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -3,15 +3,12 @@
 
 #include "relay/clients.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <cctype>
 #include <deque>
 #include <utility>
 #include <vector>
 
-#include "relay/log.h"
 #include "relay/resp.h"
 
 namespace rockcrank {
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -81,7 +81,7 @@
         listed.entry.destination = DestinationId(target.at("pod_group").get<std::uint64_t>());
       listed.entry.kind = number_of(kinds, target, "model");
       listed.entry.hall = number_of(halls, target, "az");
-      listed.entry.standing = state == "Ready"  ? Standing::listed
+      listed.entry.standing = needed            ? Standing::listed
                               : state == "Gone" ? Standing::gone
                                                 : Standing::draining;
       listed.entry.listed_rate = target.value("capacity_hint", 0.0);
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -24,7 +24,6 @@
   std::function<void()> on_failure;
   void ask(std::string request, Millis within);
   bool asking() const { return asking_; }
-  void close() { fail(); }
 
  private:
   void open();
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -7,7 +7,6 @@
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 #include "relay/log.h"
 #include "settings/settings.h"
@@ -116,7 +115,15 @@
   }
   // No socket was to be had, or the connection was turned down on the spot.
   bool stillborn() const { return stream_.state() == Stream::State::ended; }
-  void fail(Ending ending) { stop(ending); }
+  // The connection is given up; a call that was not wholly written never ran.
+  void stop(Ending ending) {
+    bool never = unwritten();
+    if (never && (ending == Ending::broken || ending == Ending::timed_out)) ending = Ending::not_connected;
+    if (never && ending == Ending::called_off) ending = Ending::not_sent;
+    end_all({ending, false}, 0, {});
+    owner_.drop(*this);
+  }
+
   void shut() { stream_.close(), timer_.clear(), connect_timer_.clear(); }
 
   void rested() {
@@ -176,19 +183,14 @@
     owner_.on_outcome(outcome);
   }
 
-  void end_all(Verdict verdict, Millis wait, const Hints& hints) {
+  template <typename VerdictOf>
+  void end_each(VerdictOf verdict_of_item, Millis wait, const Hints& hints) {
     auto items = std::exchange(items_, {});
     timer_.clear(), connect_timer_.clear();
-    for (const auto& item : items) end_one(item, verdict, wait, hints);
+    for (const auto& item : items) end_one(item, verdict_of_item(item), wait, hints);
   }
-
-  // The connection is given up; a call that was not wholly written never ran.
-  void stop(Ending ending) {
-    bool never = unwritten();
-    if (never && (ending == Ending::broken || ending == Ending::timed_out)) ending = Ending::not_connected;
-    if (never && ending == Ending::called_off) ending = Ending::not_sent;
-    end_all({ending, false}, 0, {});
-    owner_.drop(*this);
+  void end_all(Verdict verdict, Millis wait, const Hints& hints) {
+    end_each([&](const Item&) { return verdict; }, wait, hints);
   }
 
   void read(bool ended) {
@@ -198,8 +200,7 @@
     if (answer.state == State::partial && !ended) return;
     // A broken answer still tells by its first line, where that is all that counts.
     bool whole = answer.state == State::whole;
-    if (!whole && (answer.status == 0 || (several_ && answer.status == 200)))
-      return stop(ended || !unwritten() ? Ending::broken : Ending::not_connected);
+    if (!whole && (answer.status == 0 || (several_ && answer.status == 200))) return stop(Ending::broken);
     tell(answer);
     if (!whole || answer.closes || ended || unwritten()) return owner_.drop(*this);
     stream_.consume(answer.size);
@@ -225,13 +226,12 @@
       if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
           state["state"].is_string())
         verdicts[state["id"].get<std::string>()] = verdict_of(state["state"].get<std::string>());
-    auto items = std::exchange(items_, {});
-    timer_.clear();
-    for (const auto& item : items) {
+    auto told = [&](const Item& item) {
       auto found = verdicts.find(item.id);
       // A document that the answer leaves out may have run.
-      end_one(item, found == verdicts.end() ? Verdict{Ending::error, false} : found->second, wait, hints);
-    }
+      return found == verdicts.end() ? Verdict{Ending::error, false} : found->second;
+    };
+    end_each(told, wait, hints);
   }
 
   Endpoints& owner_;
@@ -273,11 +273,10 @@
   if (fresh) line = std::make_unique<Line>(*this, endpoint, place.address);
   Line& used = *line;
   busy_[&used] = std::move(line);
-  ++out_;
   for (const auto& parcel : parcels) under_way_[{parcel.doc, parcel.transmission}] = &used;
   used.begin(parcels);
-  if (!room || used.lacks_descriptor()) used.fail(Ending::not_sent);
-  else if (fresh && used.stillborn()) used.fail(Ending::not_connected);
+  if (!room || used.lacks_descriptor()) used.stop(Ending::not_sent);
+  else if (fresh && used.stillborn()) used.stop(Ending::not_connected);
 }
 
 // Guards against running out of descriptors: the connection idle for longest makes way.
@@ -311,7 +310,6 @@
   auto& idle = places_.at(line.endpoint()).idle;
   idle.push_front(std::move(found->second));
   busy_.erase(found);
-  --out_;
   line.rested();
 }
 
@@ -320,7 +318,6 @@
   if (auto found = busy_.find(&line); found != busy_.end()) {
     loop_.bury(std::move(found->second));
     busy_.erase(found);
-    --out_;
     return;
   }
   auto& idle = places_.at(line.endpoint()).idle;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -44,7 +44,7 @@
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
   void call_off(DocId doc, int transmission);
   void close_idle(EndpointId endpoint);
-  bool none_out() const { return out_ == 0; }
+  bool none_out() const { return busy_.empty(); }
 
  private:
   class Line;
@@ -62,7 +62,7 @@
   std::map<EndpointId, Place> places_;
   std::map<const Line*, std::unique_ptr<Line>> busy_;
   std::map<std::pair<DocId, int>, Line*> under_way_;
-  std::size_t connections_ = 0, out_ = 0;
+  std::size_t connections_ = 0;
 };
 
 }  // namespace rockcrank
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -63,7 +63,6 @@
   Timer& operator=(const Timer&) = delete;
   void set(Millis when);
   void clear();
-  bool is_set() const { return key_.second != 0; }
 
  private:
   friend class Loop;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -133,9 +132,7 @@
   try {
     auto rest = handed.list;
     while (!rest.empty()) {
-      auto comma = rest.find(',');
-      auto pair = rest.substr(0, comma);
-      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+      auto pair = cut(rest, ',');
       auto equals = pair.find('=');
       if (equals == std::string_view::npos) continue;
       auto name = pair.substr(0, equals), value = pair.substr(equals + 1);
@@ -165,9 +162,8 @@
   auto wall = Loop::wall();
   held.expiry = wall + left;
   auto doc = store_.add(std::move(held));
-  auto document = to_document(store_.held().at(doc), doc, wall);
-  arrived_.push_back({doc, document, answer_to});
-  decision_.take(document);
+  arrived_.push_back({doc, answer_to});
+  decision_.take(to_document(store_.held().at(doc), doc, wall));
 }
 
 void Relay::ended(const Outcome& outcome) {
@@ -227,8 +223,8 @@
   }
 }
 
-// The store could not note these, so they do not go. Each still has its outcome, also of a document about to be
-// given back: the module counts its calls by them, and would otherwise hold its slot for ever.
+// The store could not note these, so they do not go. Each still has its outcome, also of a document about to
+// be given back: the module counts its calls by them, and would otherwise hold its slot for ever.
 void Relay::hold_back(const std::vector<Transmit>& transmitted) {
   for (const auto& sent : transmitted) {
     auto found = store_.held().find(sent.doc);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -28,7 +28,6 @@
   // What came since the last turn, in its order.
   struct Arrived {
     DocId doc{};
-    Document document;
     AnswerTo answer_to;
   };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -20,6 +20,13 @@
   return std::string(1, '\'').append(text.substr(0, 60)).append(1, '\'');
 }
 
+std::string_view cut(std::string_view& rest, char mark) {
+  auto end = rest.find(mark);
+  auto part = rest.substr(0, end);
+  rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+  return part;
+}
+
 std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high) {
   std::int64_t value = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -47,9 +54,7 @@
 
 Pairs::Pairs(std::string_view text) {
   while (!text.empty()) {
-    auto space = text.find(' ');
-    auto pair = text.substr(0, space);
-    text = space == std::string_view::npos ? std::string_view{} : text.substr(space + 1);
+    auto pair = cut(text, ' ');
     auto equals = pair.find('=');
     if (equals == std::string_view::npos) {
       if (pair.empty() || pair == "-") continue;
@@ -85,11 +90,7 @@
 std::vector<std::string_view> Pairs::list(const std::string& path) const {
   std::vector<std::string_view> parts;
   auto rest = text(path);
-  while (!rest.empty()) {
-    auto comma = rest.find(',');
-    parts.push_back(rest.substr(0, comma));
-    rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
-  }
+  while (!rest.empty()) parts.push_back(cut(rest, ','));
   return parts;
 }
 
@@ -150,9 +151,7 @@
   Hints hints;
   if (text == "-") return hints;
   while (!text.empty()) {
-    auto comma = text.find(',');
-    auto pair = text.substr(0, comma);
-    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+    auto pair = cut(text, ',');
     auto colon = pair.find(between);
     if (colon == std::string_view::npos) throw Fault("a report value without a name: " + quoted(pair));
     auto name = pair.substr(0, colon);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -19,11 +19,6 @@
 namespace rockcrank {
 namespace {
 
-double number(const Words& words, const std::string& name, double absent) {
-  auto found = words.find(name);
-  return found == words.end() ? absent : std::stod(found->second);
-}
-
 std::uint64_t tag(const std::string& name) {
   return std::stoull(name.substr(name.find_first_of("0123456789")));
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -31,6 +31,16 @@
 
 using Words = std::map<std::string, std::string>;
 
+inline double number(const Words& words, const std::string& name, double absent) {
+  auto found = words.find(name);
+  return found == words.end() ? absent : std::stod(found->second);
+}
+
+inline std::string text_or(const Words& words, const std::string& name, const std::string& absent) {
+  auto found = words.find(name);
+  return found == words.end() ? absent : found->second;
+}
+
 inline std::string unescaped(const std::string& text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -111,10 +121,6 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
         .count();
   }
-  static double number(const Words& words, const char* name, double absent) {
-    auto found = words.find(name);
-    return found == words.end() ? absent : std::stod(found->second);
-  }
   static int listen_on(int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -400,15 +406,12 @@
       if (endpoint.manner == "deaf") fill_queue(endpoint);
       endpoint.how = words;
       if (endpoint.entry.is_null() || words.count("state")) {
-        auto told = [&](const char* name, const char* absent) {
-          return words.count(name) ? words.at(name) : std::string(absent);
-        };
         endpoint.entry = {{"uid", plain[1]},
                           {"endpoint", at(endpoint.port)},
                           {"az", "h0"},
-                          {"model", told("kind", "m0")},
+                          {"model", text_or(words, "kind", "m0")},
                           {"pod_group", int(number(words, "for", 1))},
-                          {"state", told("state", "Ready")},
+                          {"state", text_or(words, "state", "Ready")},
                           {"capacity_hint", 1.0},
                           {"boot_ms", 0}};
         ++revision_;
@@ -435,19 +438,17 @@
     } else if (verb == "half") {
       shutdown(client(plain.at(1)), SHUT_WR);
     } else if (verb == "hand") {
-      auto get = [&](const char* name, const char* absent) {
-        return words.count(name) ? words.at(name) : std::string(absent);
-      };
       auto count = int(number(words, "times", 1));
       std::string out;
       for (int i = 0; i < count; ++i) {
         auto id = count > 1 ? plain.at(2) + std::to_string(i) : plain.at(2);
-        auto list = "c=" + get("type", "plain") + ",d=" + get("left", "20000") + ",dest=" + get("for", "1");
+        auto list = "c=" + text_or(words, "type", "plain") + ",d=" + text_or(words, "left", "20000") +
+                    ",dest=" + text_or(words, "for", "1");
         for (const char* name : {"k", "t"})
           if (words.count(name)) list += std::string(",") + name + "=" + words.at(name);
-        auto body =
-            get("body", "hello") + std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
-        out += command({"ENQUEUE", get("key", "0000000000000000"), id, list, body});
+        auto body = text_or(words, "body", "hello") +
+                    std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
+        out += command({"ENQUEUE", text_or(words, "key", "0000000000000000"), id, list, body});
       }
       say(plain.at(1), out);
     } else if (verb == "hear") {
