Read the configuration again on SIGHUP and move watch and notices to its agent

Now the file is read whole or, with a line, not at all; the agent's new address is followed at once from its whole list on, and notices not yet taken go there. Lines at fault: Signals in loop.cpp took SIGTERM and SIGINT only; Asker held its address for good; config.cpp let the environment's address win over the replaced file. Ruled out: waiting for the old connection to close, which would leave up to 1.5 s and a pause of the module unfollowed.

--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -110,7 +110,9 @@
   Config config;
   config.name = told("BALANCER_NAME", "name");
   config.listen = address_of(told("BALANCER_LISTEN", "listen"));
-  config.discovery = address_of(told("BALANCER_DISCOVERY", "discovery"));
+  // The file is what is replaced while the relay runs, so its own word on discovery comes first.
+  auto discovery = json.value("discovery", "");
+  config.discovery = address_of(discovery.empty() ? told("BALANCER_DISCOVERY", "discovery") : discovery);
   config.state_folder = told("BALANCER_STATE", "state");
   auto seed = json.find("seed");
   if (seed != json.end()) config.seed = hash_of(plain(*seed));
@@ -144,6 +146,8 @@
   config.idle_life = pairs.time("limits.keepaliveUs");
   if (auto known = json.find("known"); known != json.end() && known->is_object())
     config.known = config.to_list(*known);
+  for (const char* changing : {"discovery", "known", "seed"}) json.erase(changing);
+  config.rest_sum = hash_of(json.dump());
   return config;
 }
 
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -1,5 +1,5 @@
-// Owns what the relay is told at its start: the configuration file, decoded once. It must never be written to
-// afterwards nor hold a second copy of a setting.
+// Owns what the relay is told at its start, and by SIGHUP again: the configuration file, decoded once. It must
+// never be written to afterwards nor hold a second copy of a setting.
 #pragma once
 
 #include <cstdint>
@@ -39,6 +39,7 @@
   std::unordered_map<std::string, HallId> halls;
   Millis connect_within = 0, idle_life = 0;
   ListAnswer known;
+  std::uint64_t rest_sum = 0;  // tells whether what only a start takes in has changed
 
   ListAnswer to_list(const nlohmann::json& answer) const;  // throws on what it cannot read
 };
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -47,6 +47,12 @@
   loop_.bury(std::move(stream_));
 }
 
+void Asker::move_to(const Address& agent) {
+  agent_ = agent;
+  asking_ = false;
+  drop();
+}
+
 void Asker::fail() {
   drop();
   if (std::exchange(asking_, false)) on_failure();
@@ -82,13 +88,20 @@
       log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
       return on_failure();
     }
+    whole_ = false;
     next();  // at once, or changes in between are lost to the watch
   };
 }
 
+void Watch::move_to(const Address& agent) {
+  asker_.move_to(agent);
+  whole_ = true;
+  follow();
+}
+
 void Watch::follow() {
   if (asker_.asking()) return;
-  if (std::exchange(first_, false))
+  if (whole_)
     return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
   next();
 }
@@ -111,12 +124,26 @@
     send();
   };
   asker_.on_failure = [this] {
-    waiting_.insert(waiting_.begin(), under_way_.begin(), under_way_.end());
-    under_way_.clear();
+    take_back();
     again_.set(loop_.now() + pause_after(++failures_));
   };
 }
 
+void Notices::take_back() {
+  waiting_.insert(waiting_.begin(), under_way_.begin(), under_way_.end());
+  under_way_.clear();
+}
+
+// Guards against notices told to an address that no longer listens: those out unanswered are told once more,
+// which does no harm, and pauses earned by the old address do not bind the new one.
+void Notices::move_to(const Address& agent) {
+  asker_.move_to(agent);
+  take_back();
+  again_.clear();
+  failures_ = 0;
+  send();
+}
+
 void Notices::tell(DocId doc, const std::string& id, bool rejected, Millis wait) {
   nlohmann::json line{{"id", id}, {"status", rejected ? "deferred" : "undeliverable"}};
   if (rejected && wait > 0) line["again_ms"] = static_cast<std::int64_t>(std::ceil(wait));
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -23,6 +23,7 @@
   std::function<void(const HttpAnswer&)> on_answer;  // may ask again
   std::function<void()> on_failure;
   void ask(std::string request, Millis within);
+  void move_to(const Address& agent);  // what was asked of the old one is asked no more
   bool asking() const { return asking_; }
 
  private:
@@ -32,7 +33,7 @@
   void drop();
 
   Loop& loop_;
-  const Address agent_;
+  Address agent_;
   Timer timer_;
   std::unique_ptr<Stream> stream_;
   std::string request_;
@@ -47,11 +48,12 @@
   std::function<void()> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
   void follow();
+  void move_to(const Address& agent);  // followed there at once, from the whole list on
 
  private:
   void next();
   Asker asker_;
-  bool first_ = true;
+  bool whole_ = true;  // an agent just met has not told its whole list yet
 };
 
 class Notices {
@@ -60,6 +62,7 @@
   std::function<void(DocId)> on_told;
   std::function<Millis(int)> pause_after;  // so many failures in a row
   void tell(DocId doc, const std::string& id, bool rejected, Millis wait);
+  void move_to(const Address& agent);  // all not yet taken is told there at once
   bool none_left() const { return waiting_.empty() && under_way_.empty(); }
 
  private:
@@ -68,6 +71,7 @@
     std::string line;
   };
   void send();
+  void take_back();
   Loop& loop_;
   Asker asker_;
   Timer again_;
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -33,9 +33,9 @@
 
 volatile sig_atomic_t signal_end = -1;  // a handler reaches nothing but what is static
 
-void on_signal(int) {
+void on_signal(int number) {
   int kept = errno;
-  char byte = 0;
+  char byte = static_cast<char>(number);
   [[maybe_unused]] auto written = ::write(signal_end, &byte, 1);
   errno = kept;
 }
@@ -314,14 +314,15 @@
   }
 }
 
-Signals::Signals(Loop& loop, std::function<void()> asked_to_end)
-    : loop_(loop), asked_to_end_(std::move(asked_to_end)) {
+Signals::Signals(Loop& loop, std::function<void()> asked_to_end, std::function<void()> asked_to_read)
+    : loop_(loop), asked_to_end_(std::move(asked_to_end)), asked_to_read_(std::move(asked_to_read)) {
   if (pipe2(ends_, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("cannot make a pipe");
   signal_end = ends_[1];
   struct sigaction action {};
   action.sa_handler = on_signal;
   sigaction(SIGTERM, &action, nullptr);
   sigaction(SIGINT, &action, nullptr);
+  sigaction(SIGHUP, &action, nullptr);
   signal(SIGPIPE, SIG_IGN);
   signal(SIGXFSZ, SIG_IGN);
   loop_.add(ends_[0], POLLIN, this);
@@ -330,13 +331,18 @@
 Signals::~Signals() {
   signal(SIGTERM, SIG_DFL);
   signal(SIGINT, SIG_DFL);
+  signal(SIGHUP, SIG_IGN);  // one that comes as the relay ends must not spoil its end
   loop_.remove(ends_[0]);
   ::close(ends_[0]), ::close(ends_[1]);
 }
 
 void Signals::ready(short) {
   char bytes[16];
-  if (::read(ends_[0], bytes, sizeof bytes) > 0) asked_to_end_();
+  auto count = ::read(ends_[0], bytes, sizeof bytes);
+  bool read_again = false, end = false;
+  for (ssize_t i = 0; i < count; ++i) (bytes[i] == SIGHUP ? read_again : end) = true;
+  if (read_again) asked_to_read_();
+  if (end) asked_to_end_();
 }
 
 }  // namespace rockcrank
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -139,11 +139,11 @@
   Timer again_;
 };
 
-// SIGTERM and SIGINT, brought into the loop through a pipe; those that a failed write would raise are
+// SIGTERM and SIGINT (to end) and SIGHUP (to read the configuration again), brought into the loop through a pipe; those that a failed write would raise are
 // ignored. One in a process.
 class Signals : public Handler {
  public:
-  Signals(Loop& loop, std::function<void()> asked_to_end);
+  Signals(Loop& loop, std::function<void()> asked_to_end, std::function<void()> asked_to_read);
   ~Signals() override;
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
@@ -152,7 +152,7 @@
   void ready(short events) override;
 
   Loop& loop_;
-  std::function<void()> asked_to_end_;
+  std::function<void()> asked_to_end_, asked_to_read_;
   int ends_[2];
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -31,7 +31,7 @@
       notices_(loop_, config_.discovery),
       turn_due_(loop_, [this] { settle(); }),
       leaving_due_(loop_, [this] { leave_further(); }),
-      signals_(loop_, [this] { leave(); }) {
+      signals_(loop_, [this] { leave(); }, [this] { read_again(); }) {
   clients_.on_document = [this](const Handed& handed, AnswerTo to) { hand_in(handed, to); };
   endpoints_.on_outcome = [this](const Outcome& outcome) { ended(outcome); };
   endpoints_.may_still_go = [this](EndpointId endpoint) {
@@ -280,6 +280,20 @@
   for (const auto& bundle : calls) endpoints_.call(bundle.endpoint, bundle.parcels);
 }
 
+// SIGHUP: a new file counts whole or not at all. Nothing held or under way is touched; of what it tells,
+// the agent's address binds at once, the rest at the next start.
+void Relay::read_again() {
+  try {
+    auto fresh = read_config();
+    watch_.move_to(fresh.discovery);
+    notices_.move_to(fresh.discovery);
+    log_line("read again: discovery at %s:%d%s", fresh.discovery.host.c_str(), fresh.discovery.port,
+             fresh.rest_sum == config_.rest_sum ? "" : "; what else is new waits for the next start");
+  } catch (const std::exception& error) {
+    log_line("read again: the old configuration stays: %s", error.what());
+  }
+}
+
 // A planned end: clients are served on while their connections still come, then each connection is closed
 // between two requests; calls under way are let end, and what is held waits in the store.
 void Relay::leave() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -42,6 +42,7 @@
   void answer_arrived(bool kept);
   void end(DocId doc, bool rejected, Millis wait);
   void send(const std::vector<Transmit>& transmitted);
+  void read_again();
   void leave();
   void leave_further();
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -328,9 +328,7 @@
     return out.str();
   }
 
-  void start(const Words& words) {
-    auto state = folder_ + "/state";
-    std::filesystem::create_directories(state);
+  std::string write_config(const Words& words) {
     Json config{
         {"name", "r1"},
         {"listen", at(relay_port_)},
@@ -341,6 +339,11 @@
         {"settings", settings_}};
     auto path = folder_ + "/config.json";
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
+    return path;
+  }
+  void start(const Words& words) {
+    auto state = folder_ + "/state", path = write_config(words);
+    std::filesystem::create_directories(state);
     auto files = static_cast<rlim_t>(number(words, "files", 0));
     auto largest = static_cast<rlim_t>(number(words, "file_bytes", 0));
     end_process(SIGKILL);
@@ -418,8 +421,18 @@
         for (auto& [fd, peer] : peers_)
           if (peer.agent && peer.watching >= 0 && peer.watching < revision_) tell_list(fd);
       }
+    } else if (verb == "agent" && plain.at(1) == "moves") {
+      ::close(agent_);
+      agent_ = listen_on(0);
+      for (auto peer = peers_.begin(); peer != peers_.end();) {
+        auto at = peer++;
+        if (at->second.agent) drop(at->first);
+      }
     } else if (verb == "agent") {
       agent_silent_ = plain.at(1) == "silent";
+    } else if (verb == "reload") {
+      write_config(words);
+      end_process(SIGHUP);
     } else if (verb == "start") {
       start(words);
     } else if (verb == "kill" || verb == "term") {
