Take nothing from a spoilt answer but the 200 of a single call's first line

Lines at fault: Line::read, Line::usable, read_answer. Ruled out: dropping the connection of every 200 that comes in two pieces, which would cost a handshake each. Tests: spoilt_answers.relay, parsers.parse.

--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -70,7 +70,7 @@
   asking_ = false;
   timer_.clear();
   // The answer is slices of the stream's buffer, so that goes only after it has been taken in.
-  if (answer.closes || ended) {
+  if (answer.closes || ended || answer.size < stream_->received().size()) {
     auto done = std::move(stream_);
     done->close();
     on_answer(answer);
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -98,7 +98,9 @@
 
   EndpointId endpoint() const { return endpoint_; }
   bool lacks_descriptor() const { return stream_.lacks_descriptor(); }
-  bool usable() const { return stream_.state() == Stream::State::up && stream_.received().empty(); }
+  // Guards against a surplus, or an end, that has come but was not read yet: it would be taken for the answer
+  // to the next call, or end it without one.
+  bool usable() const { return stream_.received().empty() && stream_.quiet(); }
   Millis idle_since() const { return idle_since_; }
 
   void begin(const std::vector<Parcel>& parcels) {
@@ -162,7 +164,7 @@
   }
 
   void due() {
-    if (items_.empty()) return owner_.drop(*this);  // idle for long enough
+    if (items_.empty()) return owner_.drop(*this);  // idle, or trailing, for long enough
     if (stream_.state() == Stream::State::connecting) return stop(Ending::not_connected);
     auto now = owner_.loop_.now();
     std::vector<std::pair<DocId, int>> late;
@@ -194,14 +196,19 @@
   }
 
   void read(bool ended) {
-    if (items_.empty()) return owner_.drop(*this);  // an idle connection has nothing to say
+    if (items_.empty() && !trailing_) return owner_.drop(*this);  // an idle connection has nothing to say
     auto answer = read_answer(stream_.received(), body_most, ended);
     using State = HttpAnswer::State;
-    if (answer.state == State::partial && !ended) return;
-    // A broken answer still tells by its first line, where that is all that counts.
-    bool whole = answer.state == State::whole;
-    if (!whole && (answer.status == 0 || (several_ && answer.status == 200))) return stop(Ending::broken);
-    tell(answer);
+    bool partial = answer.state == State::partial && !ended, whole = answer.state == State::whole;
+    // A 200 in the first line is true for a single document, whatever becomes of the rest. Guards against
+    // heads and bodies that never end: the document is over at once, the connection has the call's time to
+    // end well.
+    bool true_already = !several_ && answer.status == 200;
+    if (partial && (!true_already || trailing_)) return;
+    // Any other answer that cannot be read whole tells nothing: its first line may be spoilt too.
+    if (!whole && !true_already) return stop(Ending::broken);
+    if (!std::exchange(trailing_, partial)) tell(answer);
+    if (partial) return;
     if (!whole || answer.closes || ended || unwritten()) return owner_.drop(*this);
     stream_.consume(answer.size);
     if (!stream_.received().empty()) return owner_.drop(*this);
@@ -242,6 +249,7 @@
   std::vector<Item> items_;
   std::string request_;
   bool several_ = false;
+  bool trailing_ = false;  // the outcome is told, the rest of the answer still awaited
   Millis sent_at_ = 0, idle_since_ = 0;
 };
 
--- a/src/relay/http.cpp
+++ b/src/relay/http.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t head_most = 16384;
+constexpr std::string_view version = "HTTP/1.";
 
 bool same_word(std::string_view a, std::string_view b) {
   if (a.size() != b.size()) return false;
@@ -80,33 +81,41 @@
     return std::move(answer);
   };
   auto unfinished = [&] { return as(buffer.size() - at > head_most ? State::malformed : State::partial); };
-  auto first = next_line(buffer, at);
-  if (!first) return unfinished();
-  auto code = first->size() >= 12 ? to_size(first->substr(9, 3), 10) : std::nullopt;
-  if (first->substr(0, 7) != "HTTP/1." || !code || *code < 100) return as(State::malformed);
-  answer.status = static_cast<int>(*code);
-  answer.closes = first->substr(0, 8) == "HTTP/1.0";
-  while (true) {
-    auto line = next_line(buffer, at);
-    if (at > head_most) return as(State::malformed);
-    if (!line) return unfinished();
-    if (line->empty()) break;
-    auto colon = line->find(':');
-    if (colon == std::string_view::npos || colon == 0) return as(State::malformed);
-    answer.headers.emplace_back(line->substr(0, colon), trimmed(line->substr(colon + 1)));
-  }
+  do {  // an interim answer is skipped; all heads together keep within the bound
+    answer.headers.clear(), answer.status = 0;
+    // Guards against noise without a line's end, which would be waited for until the call's time is up.
+    auto start = buffer.substr(at, version.size());
+    if (start != version.substr(0, start.size())) return as(State::malformed);
+    auto first = next_line(buffer, at);
+    if (!first) return unfinished();
+    bool bounded = first->size() == 12 || (first->size() > 12 && (*first)[12] == ' ');
+    auto code = bounded && (*first)[8] == ' ' ? to_size(first->substr(9, 3), 10) : std::nullopt;
+    if (!code || *code < 100) return as(State::malformed);
+    answer.status = static_cast<int>(*code);
+    answer.closes = first->substr(0, 8) == "HTTP/1.0";
+    while (true) {
+      auto line = next_line(buffer, at);
+      if (at > head_most) return as(State::malformed);
+      if (!line) return unfinished();
+      if (line->empty()) break;
+      auto colon = line->find(':');
+      if (colon == std::string_view::npos || colon == 0) return as(State::malformed);
+      answer.headers.emplace_back(line->substr(0, colon), trimmed(line->substr(colon + 1)));
+    }
+  } while (answer.status < 200);
   if (same_word(answer.header("Connection"), "close")) answer.closes = true;
-  if (answer.status < 200) {  // an interim answer; the real one follows
-    auto rest = read_answer(buffer.substr(at), body_most, connection_ended);
-    rest.size += at;
-    return rest;
+  std::optional<std::string_view> length;
+  for (const auto& [key, value] : answer.headers) {
+    if (!same_word(key, "Content-Length")) continue;
+    if (length && *length != value) return as(State::malformed);  // nobody knows where it ends
+    length = value;
   }
-  auto length = answer.header("Content-Length");
-  if (same_word(answer.header("Transfer-Encoding"), "chunked")) {
+  if (auto coding = answer.header("Transfer-Encoding"); !coding.empty()) {
+    if (!same_word(coding, "chunked") || length) return as(State::malformed);
     auto state = read_chunks(buffer, at, body_most, answer.chunks);
     if (state != State::whole) return as(state);
-  } else if (!length.empty()) {
-    auto size = to_size(length, 10);
+  } else if (length) {
+    auto size = to_size(*length, 10);
     if (!size || *size > body_most) return as(State::malformed);
     if (buffer.size() < at + *size) return as(State::partial);
     answer.slice = buffer.substr(at, *size);
