Forget endpoints, routes and keys once gone, and close idle connections to them

Lines at fault: nothing erased endpoints_, ranking_, routes_, lanes_, Relay::known_ or Endpoints::places_. The module now tells what nobody can ask for any more, once no document of its time can be left.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <cstdio>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <tuple>
@@ -31,10 +32,7 @@
 class Fading {
  public:
   explicit Fading(Millis span) : span_(span) {}
-  void add(Millis now, double amount) {
-    read(now);
-    sum_ += amount;
-  }
+  void add(Millis now, double amount) { sum_ = read(now) + amount; }
   double read(Millis now) {
     if (now > at_) sum_ *= std::exp((at_ - now) / span_);
     at_ = std::max(at_, now);
@@ -56,7 +54,7 @@
   double limit = 0, left_share = 1;  // calls a second from all relays, listed or told; 0: not known
   Millis hinted_at = -never, told_until = -never;
   Mode mode = Mode::closed;
-  int failures_in_row = 0, refused_in_row = 0, follow_left = 0, calls_out = 0;
+  int endpoints = 0, failures_in_row = 0, refused_in_row = 0, follow_left = 0, calls_out = 0;
   Millis opened_at = -never, trial_at = 0, failing_since = never, cold_since = -never;
   double rate_before = 0, own_pace = 0, patience = 1, credit = 1;
   Millis paced_at = -never, credited_at = 0;
@@ -72,7 +70,8 @@
   std::uint64_t rank = 0;
   int calls_out = 0, failures_in_row = 0;
   int room = 0;  // calls at its connection cap, once met; 0: not met
-  Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never;
+  Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never,
+         gone_at = never;
 };
 
 struct Call {
@@ -116,6 +115,7 @@
  public:
   Decider(const Settings& settings, std::uint64_t seed)
       : set_(settings), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+    for (const auto& type : set_.doc_types) longest_life_ = std::max(longest_life_, type.lifetime);
     for (double rate : set_.tenant_rates) shares_.push_back({Fading(10000), rate / set_.relays});
   }
 
@@ -130,16 +130,17 @@
 
   void list(const std::vector<EndpointEntry>& entries, bool whole) override {
     if (whole)
-      for (auto& [id, endpoint] : endpoints_) endpoint.standing = Standing::gone;
+      for (auto& [id, endpoint] : endpoints_) endpoint.standing = Standing::gone, used_.insert(id);
     for (const auto& entry : entries) {
+      if (entry.standing != Standing::listed && !endpoints_.count(entry.endpoint)) continue;
       Endpoint& endpoint = endpoints_[entry.endpoint];
       if (!endpoint.route) {
         const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
         auto whole = static_cast<std::uint64_t>(entry.destination);
         auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint) : whole;
         endpoint.id = entry.endpoint, endpoint.hall = entry.hall;
-        endpoint.route = &routes_[{kind.routes_apart, name}];
-        endpoint.route->name = name, endpoint.route->bundle_max = kind.bundle_max;
+        Route& route = *(endpoint.route = &routes_[{kind.routes_apart, name}]);
+        route.name = name, route.bundle_max = kind.bundle_max, ++route.endpoints;
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint)) >> 1;
         if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
@@ -148,9 +149,11 @@
         std::sort(ranked.begin(), ranked.end(),
                   [](const Endpoint* a, const Endpoint* b) { return a->rank < b->rank; });
       }
-      endpoint.standing = entry.standing;
+      endpoint.standing = entry.standing, used_.insert(entry.endpoint);
       if (set_.limits_listed && endpoint.route->hinted_at < 0) endpoint.route->limit = entry.listed_rate;
     }
+    for (auto& [id, endpoint] : endpoints_)
+      endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
   void list_failed() override { follow_at_ = now_ + varied(trial_pause); }
@@ -248,10 +251,8 @@
       // A call out far longer than usual counts as failed at that moment: a hung destination is known before
       // its calls time out, and binding documents, which have no time-out, do not fill the slots behind it.
       for (auto& [number, call] : calls_)
-        if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route)) {
-          call.overdue = true;
-          failed(call, false, false);
-        }
+        if (!call.overdue && !call.counted && now_ >= call.sent + overdue_after(*call.route))
+          call.overdue = true, failed(call, false, false);
       for (const Rule<Route>& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
@@ -270,13 +271,13 @@
           }
     }
     // Where connections fail, endpoints may take only so many, idle ones counted. What this relay would
-    // hardly use again before its idle time equals many calls is closed at once.
+    // hardly use again before its idle time equals many calls is closed at once; so is all to one not listed.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      if (e.calls_out == 0 && unconnected_.read(now_) > 0.3 &&
-          e.route->calls.per_second(now_) * usual(*e.route) < 100)
-        done_.closed.push_back(id);
+      bool rare = unconnected_.read(now_) > 0.3 && e.route->calls.per_second(now_) * usual(*e.route) < 100;
+      if (e.calls_out == 0 && (rare || e.standing != Standing::listed)) done_.closed.push_back(id);
     }
+    if (now_ >= forgot_at_ + trial_pause) forget();
     if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
     due_ = next_due();
     done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
@@ -327,9 +328,8 @@
     if (route.failures_in_row == 1 && call.sent > route.failing_since)
       (got.ending == Ending::answered ? again_good_ : again_bad_).add(now_, 1);
     if (got.ending == Ending::answered) {
-      route.took.add(now_, got.took), route.timed.add(now_, 1);
+      route.took.add(now_, got.took), route.timed.add(now_, 1), route.good.add(now_, 1);
       took_.add(now_, got.took), timed_.add(now_, 1);
-      route.good.add(now_, 1);
       if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
       endpoint.failures_in_row = 0, endpoint.answered_at = now_;
@@ -352,7 +352,7 @@
     } else if (got.ending == Ending::timed_out) {
       route.patience = std::min(6.0, route.patience * 1.5);
     }
-    if (got.ending == Ending::broken && call.idle > 500 && &route != idle_broken_) broke_idle(call);
+    if (got.ending == Ending::broken && call.idle > 500 && route.name != idle_broken_) broke_idle(call);
     // A sunken limit refuses for seconds on end too, but then the hints say that nothing is left: no outage.
     if (got.ending == Ending::refused && spent(got.hints)) return;
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
@@ -363,7 +363,7 @@
   void broke_idle(const Call& call) {
     idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * call.idle);
     idle_breaks_.add(now_, 1);
-    idle_broken_ = call.route;
+    idle_broken_ = call.route->name;
     log(*call.route, "idle connection broke", call.idle, idle_breaks_.read(now_));
   }
 
@@ -431,6 +431,25 @@
     docs_.erase(doc.id);
   }
 
+  // Guards against a day without end: what nobody can ask for any more goes, once no document of its time can
+  // be left, and a route only when its waits and its cold return are over.
+  void forget() {
+    forgot_at_ = now_;
+    for (auto& [id, e] : endpoints_) {
+      if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
+      for (auto& [destination, ranked] : ranking_) std::erase(ranked, &e);
+      --e.route->endpoints, done_.forgotten.push_back(id);
+    }
+    for (EndpointId id : done_.forgotten) endpoints_.erase(id);
+    std::erase_if(ranking_, [](auto& entry) { return entry.second.empty(); });
+    std::erase_if(routes_, [&](auto& entry) {
+      return entry.second.endpoints == 0 && now_ >= entry.second.told_until && !is_cold(entry.second);
+    });
+    std::erase_if(lanes_, [&](auto& entry) {
+      return entry.second.waiting.empty() && entry.second.out == 0 && now_ >= entry.second.rests_until;
+    });
+  }
+
   // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
   bool may_go_again(const Doc& doc, Millis when) const {
     if (doc.out > 0) return false;
@@ -460,10 +479,9 @@
   }
 
   bool sick(Route& route) {
-    if (route.slow.read(now_) > slow_share * route.ended.read(now_) && route.slow.read(now_) > 0.05)
-      return true;
-    return route.bad.read(now_) > 0.25 * (route.good.read(now_) + route.bad.read(now_)) &&
-           route.bad.read(now_) > 0.2;
+    double slow = route.slow.read(now_), bad = route.bad.read(now_);
+    return slow > std::max(0.05, slow_share * route.ended.read(now_)) ||
+           bad > std::max(0.2, 0.25 * (route.good.read(now_) + bad));
   }
 
   int cap(Route& route) {
@@ -511,14 +529,12 @@
     return route.credit;
   }
 
-  // Rules 3, 4 and 6 and the caps: when a call may go on this route; never means that an event must come
-  // first.
+  // Rules 3, 4 and 6 and the caps: when a call may go on this route; never: an event must come first.
   Millis free_at(Route& route) {
     if (now_ < route.told_until) return route.told_until;
     if (route.mode == Mode::open) return route.trial_at;
-    if (route.mode == Mode::trial && route.calls_out > 0) return never;
-    if (route.mode == Mode::following && route.calls_out >= 2) return never;
-    if (route.calls_out >= cap(route) || now_ + 2 * usual(route) > leave_at_) return never;
+    int most = route.mode == Mode::trial ? 1 : route.mode == Mode::following ? 2 : set_.slots;
+    if (route.calls_out >= std::min(most, cap(route)) || now_ + 2 * usual(route) > leave_at_) return never;
     double rate = pace(route), lacks = 1 - (is_cold(route) ? 0 : 0.3 * rate) - credit(route);
     return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
@@ -583,9 +599,7 @@
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
 
-  bool fails_in_row(Route& route) {
-    return route.mode == Mode::closed && route.failures_in_row >= to_open(route);
-  }
+  bool fails_in_row(Route& r) { return r.mode == Mode::closed && r.failures_in_row >= to_open(r); }
 
   // Rule 1: a final answer before the client's time is up.
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
@@ -621,10 +635,7 @@
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
-      if (idle_breaks_.read(now_) > 1.2 && idle > idle_limit_) {
-        done_.closed.push_back(endpoint.id);
-        idle = 0;
-      }
+      if (idle_breaks_.read(now_) > 1.2 && idle > idle_limit_) done_.closed.push_back(endpoint.id), idle = 0;
       calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
@@ -660,8 +671,7 @@
   }
   void call_off(Doc& doc) {
     Call* call = furthest_overdue();
-    call->called_off = true, ++freed_;
-    doc.not_before = now_ + set_.tick;
+    call->called_off = true, ++freed_, doc.not_before = now_ + set_.tick;
     for (auto& [transmission, entry] : out_)
       if (&calls_[std::get<0>(entry)] == call)
         done_.called_off.push_back({transmission.first, transmission.second});
@@ -676,8 +686,7 @@
     for (auto& [id, doc] : docs_) {
       wake_at(doc.expiry - margin());
       if (doc.out > 0) continue;
-      wake_at(doc.risked_at + doc.type->key_window - margin());
-      wake_at(doc.not_before);
+      wake_at(doc.risked_at + doc.type->key_window - margin()), wake_at(doc.not_before);
       if (doc.not_before > now_) continue;
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
       for (Endpoint* e : ranking_[doc.destination])
@@ -701,7 +710,7 @@
   const Settings set_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
-  Millis now_ = 0, due_ = 0, leave_at_ = never;
+  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
@@ -721,7 +730,7 @@
   Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
   std::set<EndpointId> used_;                    // calls there ended this turn
   Millis idle_limit_ = never;
-  const Route* idle_broken_ = nullptr;
+  std::optional<std::uint64_t> idle_broken_;  // the route
 };
 
 }  // namespace
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -127,6 +127,7 @@
   std::vector<Transmit> transmitted;
   std::vector<EndpointId> closed;  // idle connections, before any transmission of this turn
   std::vector<CallOff> called_off;
+  std::vector<EndpointId> forgotten;  // gone for long, with nothing out: never named again
   bool follow_list = false;
   std::vector<std::string> log;
   Millis wake_in = -1;  // negative: only when something happens
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -312,11 +312,17 @@
   found->second.idle.clear();
 }
 
+void Endpoints::forget(EndpointId endpoint) {
+  close_idle(endpoint);
+  places_.erase(endpoint);
+}
+
 void Endpoints::rest(Line& line) {
   auto found = busy_.find(&line);
   if (found == busy_.end()) return;
-  auto& idle = places_.at(line.endpoint()).idle;
-  idle.push_front(std::move(found->second));
+  auto place = places_.find(line.endpoint());
+  if (place == places_.end()) return drop(line);  // it trailed on past its endpoint's end
+  place->second.idle.push_front(std::move(found->second));
   busy_.erase(found);
   line.rested();
 }
@@ -328,7 +334,9 @@
     busy_.erase(found);
     return;
   }
-  auto& idle = places_.at(line.endpoint()).idle;
+  auto place = places_.find(line.endpoint());
+  if (place == places_.end()) return;
+  auto& idle = place->second.idle;
   auto found = std::find_if(idle.begin(), idle.end(), [&](const auto& kept) { return kept.get() == &line; });
   if (found == idle.end()) return;
   loop_.bury(std::move(*found));
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -44,6 +44,7 @@
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
   void call_off(DocId doc, int transmission);
   void close_idle(EndpointId endpoint);
+  void forget(EndpointId endpoint);  // no call of it is out
   bool none_out() const { return busy_.empty(); }
 
  private:
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -115,10 +115,11 @@
   for (const auto& listed : list.entries) {
     auto fits = static_cast<std::size_t>(listed.entry.kind) < config_.settings.kinds.size();
     if (!fits) continue;
+    entries.push_back(listed.entry);
+    // One that is not listed is only of account while it is known from before.
+    if (listed.entry.standing != Standing::listed && !known_.count(listed.entry.endpoint)) continue;
     if (listed.address.port != 0) endpoints_.locate(listed.entry.endpoint, listed.address);
     if (listed.entry.standing == Standing::listed) known_[listed.entry.endpoint] = listed.entry;
-    else known_.emplace(listed.entry.endpoint, listed.entry);
-    entries.push_back(listed.entry);
   }
   decision_->list(entries, list.whole);
   list_version_ = list.version;
@@ -221,6 +222,7 @@
   for (EndpointId endpoint : decided.closed) endpoints_.close_idle(endpoint);
   if (kept) send(decided.transmitted);
   for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
+  for (EndpointId endpoint : decided.forgotten) endpoints_.forget(endpoint), known_.erase(endpoint);
   if (decided.follow_list) watch_.follow();
   if (!turn_open_ && (decided.wake_in >= 0 || !not_sent_.empty())) {
     auto wake = not_sent_.empty() ? decided.wake_in : 0.0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -169,6 +169,7 @@
           break;
         }
     for (EndpointId e : done.closed) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
+    for (EndpointId e : done.forgotten) ended_["forgotten"][DocId(std::uint64_t(e))] = now_;
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
   }
@@ -296,7 +297,7 @@
   std::multimap<Millis, Outcome> pending_;
   std::vector<Sent> sent_;
   std::map<std::string, std::map<DocId, Millis>> ended_{
-      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}};
+      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}, {"forgotten", {}}};
   std::vector<std::string> logs_;
 };
 
