--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -102,6 +102,7 @@
   std::set<std::uint64_t> waiting;
   int out = 0;
   Millis rests_until = -never;
+  bool is_over(Millis now) const { return waiting.empty() && out == 0 && now >= rests_until; }
 };
 
 std::uint64_t mixed(std::uint64_t a, std::uint64_t b) {
@@ -166,12 +167,10 @@
     doc.agreed_by = given.left < doc.type->agreed_time && given.transmissions == 0
                         ? doc.expiry - margin()
                         : doc.expiry - doc.type->lifetime + doc.type->agreed_time;
-    doc.turn_taken = ++taken_;
+    doc.turn_taken = ++taken_, doc.key = given.key, doc.tries = given.transmissions;
     doc.ordered = doc.type->in_order && given.has_key;
-    doc.key = given.key;
     if (doc.ordered) lanes_[doc.key].waiting.insert(doc.turn_taken);
     // Recovered after a restart: a transmission that was out may have run, and its key rests.
-    doc.tries = given.transmissions;
     if (given.may_have_run) {
       doc.risked_at = now_ - given.risked_ago, doc.risked_hall = given.risked_hall;
       if (doc.ordered) lanes_[doc.key].rests_until = now_ + set_.order_rest;
@@ -212,8 +211,7 @@
       --calls_out_;
       freed_ -= call.called_off;
     }
-    auto holder = docs_.find(got.doc);
-    if (holder != docs_.end()) {
+    if (auto holder = docs_.find(got.doc); holder != docs_.end()) {
       Doc& doc = holder->second;
       --doc.out;
       if ((unknown || got.ending == Ending::error) && !doc.may_have_run())
@@ -222,8 +220,7 @@
         close(doc);
       } else {
         // The ladder, also where no slot or socket was free: base x 2^(try-1), varied; after a refusal by all
-        // of itself from the end of a told wait, so that what was refused together does not come again
-        // together.
+        // of itself from the end of a told wait, so that what was refused together comes again apart.
         Millis pause = ladder(++doc.failures);
         doc.not_before = now_ + (got.ending == Ending::refused ? drawn(0, 2) * pause : varied(pause));
         if (got.wait > 0 && !choose(doc, set_.slots + 1)) doc.not_before += got.wait;
@@ -238,9 +235,12 @@
 
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
-  bool knows(DestinationId id) const override {
-    auto found = ranking_.find(id);
-    return found != ranking_.end() && !found->second.empty();
+  bool knows(DestinationId id) const override { return !ranked(id).empty(); }
+  // At the door: after the first step of the ladder, or when the destination may take a call, if that is
+  // later.
+  Millis come_back(DestinationId id) override {
+    Millis free = free_at(id), pause = varied(ladder_base);
+    return std::min(set_.reject_wait_max, free < never ? std::max(pause, free - now_) : pause);
   }
   bool may_still_go(EndpointId id) const override { return now_ >= endpoints_.at(id).route->told_until; }
   Millis pause_after(int failures) override { return varied(ladder(failures)); }
@@ -324,7 +324,6 @@
     route.ended.add(now_, 1);
     if (got.ending == Ending::not_connected) unconnected_.add(now_, 1);
     if (got.took > slow_call) route.slow.add(now_, 1);
-    bool stale = call.sent < route.opened_at;
     if (route.failures_in_row == 1 && call.sent > route.failing_since)
       (got.ending == Ending::answered ? again_good_ : again_bad_).add(now_, 1);
     if (got.ending == Ending::answered) {
@@ -333,7 +332,7 @@
       if (call.overdue) late_.add(now_, 1);
       route.patience = std::max(1.0, route.patience * 0.9);
       endpoint.failures_in_row = 0, endpoint.answered_at = now_;
-      if (!stale) succeeded(route);
+      if (call.sent >= route.opened_at) succeeded(route);
       return;
     }
     // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
@@ -445,9 +444,7 @@
     std::erase_if(routes_, [&](auto& entry) {
       return entry.second.endpoints == 0 && now_ >= entry.second.told_until && !is_cold(entry.second);
     });
-    std::erase_if(lanes_, [&](auto& entry) {
-      return entry.second.waiting.empty() && entry.second.out == 0 && now_ >= entry.second.rests_until;
-    });
+    std::erase_if(lanes_, [&](auto& entry) { return entry.second.is_over(now_); });
   }
 
   // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
@@ -485,8 +482,7 @@
   }
 
   int cap(Route& route) {
-    int whole = std::max(1, static_cast<int>(slot_share * set_.slots));
-    return sick(route) ? std::max(1, whole / 2) : whole;
+    return std::max(1, static_cast<int>(slot_share * set_.slots) / (sick(route) ? 2 : 1));
   }
 
   // The usual time of a call: the route's own, leaning on that of all routes while it has few.
@@ -539,6 +535,17 @@
     return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
 
+  Millis free_at(DestinationId destination) {
+    Millis free = never;
+    for (Endpoint* e : ranked(destination)) free = std::min(free, free_at(*e->route));
+    return free;
+  }
+
+  const std::vector<Endpoint*>& ranked(DestinationId destination) const {
+    auto found = ranking_.find(destination);
+    return found == ranking_.end() ? none_ : found->second;
+  }
+
   bool joins(const Endpoint& endpoint) {
     auto bundle = bundles_.find(endpoint.id);
     return bundle != bundles_.end() && calls_[bundle->second].docs < endpoint.route->bundle_max &&
@@ -551,7 +558,7 @@
     auto burden = [&](const Endpoint& e) {
       return std::tuple(!joins(e), now_<e.rests_until, e.failures_in_row> 0, e.calls_out);
     };
-    for (Endpoint* e : ranking_[doc.destination]) {
+    for (Endpoint* e : ranked(doc.destination)) {
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
       // A trial may end without an outcome: no binding document is risked while one that may go again waits
       // there.
@@ -577,8 +584,7 @@
   // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
   Grade urgency(const Doc& doc) {
     Millis lead = 0;
-    auto ranked = ranking_.find(doc.destination);
-    if (ranked != ranking_.end() && !ranked->second.empty()) lead = usual(*ranked->second.front()->route);
+    if (knows(doc.destination)) lead = usual(*ranked(doc.destination).front()->route);
     if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
     if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
     double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
@@ -609,8 +615,7 @@
     return !may_go_again(doc, std::max(now_, doc.not_before));
   }
   void end(Doc& doc) {
-    Millis free = never;  // with time left, the client is told when the destination may take a call again
-    for (Endpoint* e : ranking_[doc.destination]) free = std::min(free, free_at(*e->route));
+    Millis free = free_at(doc.destination);  // with time left, the client is told it
     Millis wait = free < doc.expiry ? std::min(free - now_, set_.reject_wait_max) : 0;
     if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
@@ -632,6 +637,7 @@
   void transmit(Doc& doc) {
     Endpoint& endpoint = *choose(doc, set_.slots);
     Route& route = *endpoint.route;
+    if (joins(endpoint) && is_cold(route)) route.credit -= 0.12;
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
@@ -640,8 +646,6 @@
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
-    } else if (is_cold(route)) {
-      route.credit -= 0.12;
     }
     auto number = bundles_[endpoint.id];
     ++calls_[number].docs;
@@ -659,10 +663,9 @@
   }
   // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only
   // slow, and calling off would throw away work that the destinations go on with.
-  bool hanging() { return hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_); }
   Call* furthest_overdue() {
     Call* worst = nullptr;
-    double most = hanging() ? 0.6 : 2.5;
+    double most = hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_) ? 0.6 : 2.5;
     for (auto& [number, call] : calls_) {
       double by = (now_ - call.sent) / overdue_after(*call.route) * call.route->patience;
       if (!call.called_off && by > most) worst = &call, most = by;
@@ -689,7 +692,7 @@
       wake_at(doc.risked_at + doc.type->key_window - margin()), wake_at(doc.not_before);
       if (doc.not_before > now_) continue;
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
-      for (Endpoint* e : ranking_[doc.destination])
+      for (Endpoint* e : ranked(doc.destination))
         if (e->standing == Standing::listed) wake_at(free_at(*e->route)), wake_at(e->room_met_at + 5000);
     }
     return due;
@@ -717,6 +720,7 @@
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, std::vector<Endpoint*>> ranking_;
+  const std::vector<Endpoint*> none_;
   std::map<DocId, Doc> docs_;
   std::map<KeyId, KeyLane> lanes_;
   std::map<std::uint64_t, Call> calls_;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -149,6 +149,7 @@
 
   virtual bool has_room() const = 0;                         // for one more document
   virtual bool knows(DestinationId destination) const = 0;   // one with endpoints, or that had some lately
+  virtual Millis come_back(DestinationId destination) = 0;  // for a document turned away; 0: not to be told
   virtual bool may_still_go(EndpointId endpoint) const = 0;  // a call decided on but not yet begun
   virtual Millis pause_after(int failures) = 0;              // before what the host itself tries again
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -19,6 +19,10 @@
 constexpr Millis connections_come = 500;
 constexpr Millis gone_within = 3500;
 
+std::string busy(Millis wait) {
+  return wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) + "\r\n" : "-BUSY\r\n";
+}
+
 }  // namespace
 
 Relay::Relay(Config config)
@@ -161,10 +165,11 @@
   if (store_.holds(held.id)) return say("-ERR the id is held already\r\n");
   begin();
   // What nobody has listed cannot be sent; the list may only be late, so the client may try again.
-  if (!decision_->knows(held.destination)) return say("-BUSY\r\n");
+  auto later = [&] { say(busy(decision_->come_back(held.destination)).c_str()); };
+  if (!decision_->knows(held.destination)) return later();
   auto bytes = held.id.size() + held.mark.size() + held.body.size() + held.order_key.size() + 128;
   // A full room or a full store: nothing ran, so the client may try again.
-  if (!decision_->has_room() || !store_.has_room(bytes)) return say("-BUSY\r\n");
+  if (!decision_->has_room() || !store_.has_room(bytes)) return later();
   auto wall = Loop::wall();
   held.expiry = wall + left;
   auto doc = store_.add(std::move(held));
@@ -188,12 +193,10 @@
   auto fresh = std::find_if(arrived_.begin(), arrived_.end(), [&](const auto& a) { return a.doc == doc; });
   if (fresh != arrived_.end()) {
     // Not yet taken on: the client hears it at once, and no notice is owed.
-    auto busy =
-        wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) : std::string("-BUSY");
     auto to = fresh->answer_to;
     arrived_.erase(fresh);
     store_.forget(doc);
-    return clients_.answer(to, rejected ? busy + "\r\n" : "-ERR cannot be transmitted\r\n");
+    return clients_.answer(to, rejected ? busy(wait) : "-ERR cannot be transmitted\r\n");
   }
   store_.ended(doc, rejected, wait);
   notices_.tell(doc, store_.held().at(doc).id, rejected, wait);
@@ -246,7 +249,8 @@
 
 void Relay::answer_arrived(bool kept) {
   for (const auto& one : std::exchange(arrived_, {})) {
-    clients_.answer(one.answer_to, kept ? "+OK\r\n" : "-BUSY\r\n");
+    clients_.answer(one.answer_to,
+                    kept ? "+OK\r\n" : busy(decision_->come_back(store_.held().at(one.doc).destination)));
     if (kept) continue;
     decision_->withdraw(one.doc);
     store_.forget(one.doc);
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -469,6 +469,13 @@
     } else if (verb == "hear") {
       auto wanted = rest_of(2);
       int fd = client(plain.at(1));
+      if (wanted == "BUSY") {
+        auto& in = peers_[fd].in;
+        EXPECT_TRUE(pump(1500, [&] { return in.find('\n') != std::string::npos; }));
+        EXPECT_TRUE(in.rfind("-BUSY ", 0) == 0 && std::atoi(in.c_str() + 6) > 0) << "heard instead: " << in;
+        in.erase(0, in.find('\n') + 1);
+        return;
+      }
       bool heard = pump(
           1500, [&] { return wanted == "END" ? peers_[fd].ended : peers_[fd].in.rfind(wanted, 0) == 0; });
       EXPECT_TRUE(heard) << "heard instead: " << peers_[fd].in << "; log: " << log();
