Count breaks on kept connections at several destinations as no failure of theirs

Lines at fault: count() called failed() for each such break; idleness was that of the endpoint, while pooled connections of a busy endpoint lie idle longer. The sockets now tell how long a call's connection had lain idle (Outcome::kept), and connections idle for too long are left out one by one. Ruled out: hung calls (no time-outs), full room (few turned away), new connections refused (1 to 2). When it could do harm: a destination that breaks calls on kept connections only, while others do too, opens later.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -125,8 +125,7 @@
     if (now > due_ + stall && due_ > 0)
       for (auto& [id, doc] : docs_)
         if (doc.tries > 0 && doc.not_before <= now) doc.not_before = now + drawn(0, ladder_base);
-    now_ = now;
-    done_ = {}, bundles_.clear();
+    now_ = now, done_ = {}, bundles_.clear();
   }
 
   void list(const std::vector<EndpointEntry>& entries, bool whole) override {
@@ -208,8 +207,7 @@
     if (--call.docs == 0) {
       --call.route->calls_out;
       if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_, used_.insert(call.endpoint->id);
-      --calls_out_;
-      freed_ -= call.called_off;
+      --calls_out_, freed_ -= call.called_off;
     }
     if (auto holder = docs_.find(got.doc); holder != docs_.end()) {
       Doc& doc = holder->second;
@@ -246,6 +244,7 @@
   Millis pause_after(int failures) override { return varied(ladder(failures)); }
 
   Decided decide() override {
+    done_.idle_most = idle_breaks_.read(now_) > 1.2 ? idle_limit_ : never;
     for (bool fired = true; fired;) {
       fired = false;
       // A call out far longer than usual counts as failed at that moment: a hung destination is known before
@@ -279,8 +278,7 @@
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
     if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
-    due_ = next_due();
-    done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
+    due_ = next_due(), done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
     return std::move(done_);
   }
 
@@ -351,19 +349,23 @@
     } else if (got.ending == Ending::timed_out) {
       route.patience = std::min(6.0, route.patience * 1.5);
     }
-    if (got.ending == Ending::broken && call.idle > 500 && route.name != idle_broken_) broke_idle(call);
+    Millis idle = got.kept < 0 ? call.idle : got.kept;
+    bool on_kept = got.ending == Ending::broken && idle > (got.kept < 0 ? 500 : 0);
+    if (on_kept && route.name != idle_broken_) broke_idle(route, idle);
+    if (on_kept && got.kept > 0 && idle_breaks_.read(now_) > 1.2) return;
     // A sunken limit refuses for seconds on end too, but then the hints say that nothing is left: no outage.
     if (got.ending == Ending::refused && spent(got.hints)) return;
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
-  // Calls that break at one destination after another, each on a connection that had lain idle: something on
-  // the way drops idle connections early. For a while they are closed before use instead; a new one costs.
-  void broke_idle(const Call& call) {
-    idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * call.idle);
+  // Calls that break at one destination after another, each on a kept connection: something on the way drops
+  // connections, and these breaks tell nothing of the destinations; one that is down fails new connections
+  // too. For a while those idle for as long are closed before use; a new one costs.
+  void broke_idle(const Route& route, Millis idle) {
+    if (idle > 500) idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * idle);
     idle_breaks_.add(now_, 1);
-    idle_broken_ = call.route->name;
-    log(*call.route, "idle connection broke", call.idle, idle_breaks_.read(now_));
+    idle_broken_ = route.name;
+    log(route, "idle connection broke", idle, idle_breaks_.read(now_));
   }
 
   void failed(Call& call, bool refused, bool waits) {
@@ -403,13 +405,12 @@
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
     bool shut = now_ - route.failing_since > longest_span && route.refused_in_row >= failures_to_open;
     bool outage = shut || failing > (route.mode == Mode::closed ? 0.5 : 0.1);
-    route.refused_in_row = 0;
+    route.refused_in_row = route.failures_in_row = 0;
     if (route.failing_since < never && outage) {
       if (!is_cold(route)) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_;
     }
     if (route.mode == Mode::closed) route.failing_since = never;
-    route.failures_in_row = 0;
     if (route.mode == Mode::trial) {
       route.mode = Mode::following, route.follow_left = follow_calls;
     } else if (route.mode == Mode::following && --route.follow_left <= 0) {
@@ -562,8 +563,8 @@
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
       // A trial may end without an outcome: no binding document is risked while one that may go again waits
       // there.
-      bool binding = doc.type->repeat == Repeat::binding;
-      if (binding && (e->route->mode != Mode::closed || sick(*e->route)) && harmless_[doc.destination] > 0)
+      if (doc.type->repeat == Repeat::binding && (e->route->mode != Mode::closed || sick(*e->route)) &&
+          harmless_[doc.destination] > 0)
         continue;
       if (!joins(*e)) {
         if (calls_out_ >= slots || free_at(*e->route) > now_) continue;
@@ -641,7 +642,7 @@
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
-      if (idle_breaks_.read(now_) > 1.2 && idle > idle_limit_) done_.closed.push_back(endpoint.id), idle = 0;
+      if (idle > done_.idle_most) done_.closed.push_back(endpoint.id), idle = 0;
       calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
@@ -713,7 +714,7 @@
   const Settings set_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
-  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0;
+  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
@@ -733,8 +734,7 @@
   Fading idle_breaks_{30000}, unconnected_{30000};
   Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
   std::set<EndpointId> used_;                    // calls there ended this turn
-  Millis idle_limit_ = never;
-  std::optional<std::uint64_t> idle_broken_;  // the route
+  std::optional<std::uint64_t> idle_broken_;     // the route
 };
 
 }  // namespace
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -102,6 +102,7 @@
   bool over = false;  // the document has its final answer
   Millis wait = 0;
   Millis took = 0;
+  Millis kept = -1;  // how long its connection had lain idle; 0: it was new; negative: the host cannot tell
   Hints hints;
 };
 
@@ -126,6 +127,7 @@
   std::vector<DocId> abandoned;
   std::vector<Transmit> transmitted;
   std::vector<EndpointId> closed;  // idle connections, before any transmission of this turn
+  Millis idle_most = 0;            // a connection that lay idle for longer is not used again
   std::vector<CallOff> called_off;
   std::vector<EndpointId> forgotten;  // gone for long, with nothing out: never named again
   bool follow_list = false;
@@ -149,7 +151,7 @@
 
   virtual bool has_room() const = 0;                         // for one more document
   virtual bool knows(DestinationId destination) const = 0;   // one with endpoints, or that had some lately
-  virtual Millis come_back(DestinationId destination) = 0;  // for a document turned away; 0: not to be told
+  virtual Millis come_back(DestinationId destination) = 0;   // for a document turned away; 0: not to be told
   virtual bool may_still_go(EndpointId endpoint) const = 0;  // a call decided on but not yet begun
   virtual Millis pause_after(int failures) = 0;              // before what the host itself tries again
 };
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -105,6 +105,8 @@
 
   void begin(const std::vector<Parcel>& parcels) {
     sent_at_ = owner_.loop_.now();
+    kept_ = idle_since_ > 0 ? std::max(0.001, sent_at_ - idle_since_) : 0;
+    trailing_ = false;
     for (const auto& parcel : parcels)
       items_.push_back({parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out),
                         std::string(parcel.id)});
@@ -180,7 +182,7 @@
     outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
     outcome.ending = verdict.ending, outcome.over = verdict.over;
     outcome.took = owner_.loop_.now() - sent_at_;
-    outcome.wait = wait, outcome.hints = hints;
+    outcome.wait = wait, outcome.hints = hints, outcome.kept = kept_;
     owner_.under_way_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
   }
@@ -250,7 +252,7 @@
   std::string request_;
   bool several_ = false;
   bool trailing_ = false;  // the outcome is told, the rest of the answer still awaited
-  Millis sent_at_ = 0, idle_since_ = 0;
+  Millis sent_at_ = 0, idle_since_ = 0, kept_ = 0;
 };
 
 Endpoints::Endpoints(Loop& loop, const Limits& limits) : loop_(loop), limits_(limits) {}
@@ -273,7 +275,7 @@
   while (!place.idle.empty() && !line) {
     auto kept = std::move(place.idle.front());
     place.idle.pop_front();
-    if (kept->usable()) line = std::move(kept);
+    if (kept->usable() && loop_.now() - kept->idle_since() <= idle_most) line = std::move(kept);
     else loop_.bury(std::move(kept));
   }
   bool fresh = !line;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -39,6 +39,7 @@
 
   std::function<void(const Outcome&)> on_outcome;
   std::function<bool(EndpointId)> may_still_go;
+  Millis idle_most = 0;  // set before each turn's calls: a connection idle for longer is not used again
 
   void locate(EndpointId endpoint, const Address& address);
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -223,6 +223,7 @@
   if (!kept) hold_back(decided.transmitted);
   answer_arrived(kept);
   for (EndpointId endpoint : decided.closed) endpoints_.close_idle(endpoint);
+  endpoints_.idle_most = decided.idle_most;
   if (kept) send(decided.transmitted);
   for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
   for (EndpointId endpoint : decided.forgotten) endpoints_.forget(endpoint), known_.erase(endpoint);
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -108,7 +108,7 @@
   };
   struct Peer {  // an accepted connection, or a client's
     std::string endpoint, in, out;
-    bool agent = false, client = false, ended = false;
+    bool agent = false, client = false, ended = false, used = false;
     std::int64_t watching = -1;
   };
   struct Later {
@@ -268,7 +268,9 @@
     for (const auto& id : ids) calls_.push_back({id, peer.endpoint, head + body});
     const auto& manner = endpoint.manner;
     double after = now() + number(endpoint.how, "after", 0);
-    if (manner == "reset") return drop(fd, true), false;
+    bool used = std::exchange(peer.used, true);
+    if (manner == "reset" || (used && manner == "200" && endpoint.how.count("fragile")))
+      return drop(fd, true), false;
     if (manner == "silent") return true;
     auto answer =
         endpoint.how.count("raw") ? unescaped(endpoint.how.at("raw")) : "HTTP/1.1 " + manner + " Said\r\n";
