--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -316,8 +316,7 @@
     Endpoint& endpoint = *call.endpoint;
     if (got.hints.told) {
       route.limit = got.hints.limit > 0 ? got.hints.limit : (set_.limits_listed ? route.limit : 0);
-      route.left_share = got.hints.limit > 0 ? got.hints.left_share : 1;
-      route.hinted_at = now_;
+      route.left_share = got.hints.limit > 0 ? got.hints.left_share : 1, route.hinted_at = now_;
     }
     route.ended.add(now_, 1);
     if (got.ending == Ending::not_connected) unconnected_.add(now_, 1);
@@ -352,20 +351,20 @@
     Millis idle = got.kept < 0 ? call.idle : got.kept;
     bool on_kept = got.ending == Ending::broken && idle > (got.kept < 0 ? 500 : 0);
     if (on_kept && route.name != idle_broken_) broke_idle(route, idle);
-    if (on_kept && got.kept > 0 && idle_breaks_.read(now_) > 1.2) return;
+    if (got.ending == Ending::broken && got.kept >= 0 && idle_breaks_.read(now_) > 1.2) return;
     // A sunken limit refuses for seconds on end too, but then the hints say that nothing is left: no outage.
     if (got.ending == Ending::refused && spent(got.hints)) return;
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
   // Calls that break at one destination after another, each on a kept connection: something on the way drops
-  // connections, and these breaks tell nothing of the destinations; one that is down fails new connections
-  // too. For a while those idle for as long are closed before use; a new one costs.
+  // connections, and a break tells nothing of its destination; one that is down fails to connect too. For a
+  // while connections idle for as long are closed before use; a new one costs.
   void broke_idle(const Route& route, Millis idle) {
     if (idle > 500) idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * idle);
     idle_breaks_.add(now_, 1);
     idle_broken_ = route.name;
-    log(route, "idle connection broke", idle, idle_breaks_.read(now_));
+    if (idle_breaks_.read(now_) < 3) log(route, "idle connection broke", idle, idle_breaks_.read(now_));
   }
 
   void failed(Call& call, bool refused, bool waits) {
