Take new clients in at once where connections at rest can make way

Ruled out by log and report: full room or store, breakers, time-outs, CPU. Now one too young is passed over for one at rest, unless such fill half of the places. Test: bad_clients.relay.

--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -165,19 +165,24 @@
   if (clients_.size() >= connections_most_) make_room();
 }
 
-// Guards against connections that are kept open unused until no other client gets in: one that has not asked
-// yet, else the one unused for longest, is closed between two requests; with all in use, further ones wait in
-// the queue.
+// Guards against connections that are kept open unused until no other client gets in: one ended here, one
+// that has not asked in a while, or the one unused for longest is closed between two requests. One just come
+// may have its first request on the way; only while such fill half of the places do those that have asked
+// stay. With none to close, further ones wait in the queue.
 void Clients::make_room() {
   if (!listener_ || clients_.size() < connections_most_) return;
+  auto fresh =
+      std::count_if(clients_.begin(), clients_.end(), [](const auto& at) { return !at.second->has_asked(); });
+  bool flood = 2 * static_cast<std::size_t>(fresh) > connections_most_;
   const Client* oldest = nullptr;
   std::uint64_t number = 0;
-  for (const auto& [other, client] : clients_)
+  for (const auto& [other, client] : clients_) {
+    auto unused = loop_.now() - client->used_at();
+    if (client->has_asked() ? flood || unused < 1 : unused < look_again) continue;
     if ((!oldest || client->merit() < oldest->merit()) && client->may_make_way())
       oldest = client.get(), number = other;
-  // One just come may have its first request on the way.
-  if (oldest && loop_.now() - oldest->used_at() >= (oldest->has_asked() ? 1 : look_again))
-    return ended(number);
+  }
+  if (oldest) return ended(number);
   listener_->pause(true);
   full_.set(loop_.now() + look_again);
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -467,7 +467,11 @@
                     std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
         out += command({"ENQUEUE", text_or(words, "key", "0000000000000000"), id, list, body});
       }
-      say(plain.at(1), out);
+      if (!words.count("clients")) return say(plain.at(1), out);
+      for (int i = 0; i < int(number(words, "clients", 0)); ++i) {
+        auto name = plain.at(1) + std::to_string(i);
+        say(name, command({"ENQUEUE", "0000000000000000", name, "c=plain,d=20000,dest=1", "hello"}));
+      }
     } else if (verb == "hear") {
       auto wanted = rest_of(2);
       int fd = client(plain.at(1));
