Let the stand-in's deaf endpoint take connections again without a short queue

told_wait_connecting failed about one run in five: after deaf the listener kept its queue of one, which could drop the relay's second SYN.

--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -409,6 +409,7 @@
       if (!down && endpoint.listener < 0) endpoint.listener = listen_on(endpoint.port);
       if (plain.size() > 2) endpoint.manner = plain[2];
       if (endpoint.manner == "deaf") fill_queue(endpoint);
+      else if (endpoint.listener >= 0) listen(endpoint.listener, 64);  // its queue is no longer kept short
       endpoint.how = words;
       if (endpoint.entry.is_null() || words.count("state")) {
         endpoint.entry = {{"uid", plain[1]},
