Build a handed document in one place in the stand-in, and drop a reset of a clear flag

Found on reading the change again. hand clients= built its own document beside the loop that does; Line::begin cleared trailing_, which every way to a reused connection has cleared already.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -106,7 +106,6 @@
   void begin(const std::vector<Parcel>& parcels) {
     sent_at_ = owner_.loop_.now();
     kept_ = idle_since_ > 0 ? std::max(0.001, sent_at_ - idle_since_) : 0;
-    trailing_ = false;
     for (const auto& parcel : parcels)
       items_.push_back({parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out),
                         std::string(parcel.id)});
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -456,23 +456,23 @@
     } else if (verb == "half") {
       shutdown(client(plain.at(1)), SHUT_WR);
     } else if (verb == "hand") {
-      auto count = int(number(words, "times", 1));
-      std::string out;
-      for (int i = 0; i < count; ++i) {
-        auto id = count > 1 ? plain.at(2) + std::to_string(i) : plain.at(2);
+      auto document = [&](const std::string& id) {
         auto list = "c=" + text_or(words, "type", "plain") + ",d=" + text_or(words, "left", "20000") +
                     ",dest=" + text_or(words, "for", "1");
         for (const char* name : {"k", "t"})
           if (words.count(name)) list += std::string(",") + name + "=" + words.at(name);
         auto body = text_or(words, "body", "hello") +
                     std::string(static_cast<std::size_t>(number(words, "fill", 0)), 'x');
-        out += command({"ENQUEUE", text_or(words, "key", "0000000000000000"), id, list, body});
-      }
-      if (!words.count("clients")) return say(plain.at(1), out);
-      for (int i = 0; i < int(number(words, "clients", 0)); ++i) {
-        auto name = plain.at(1) + std::to_string(i);
-        say(name, command({"ENQUEUE", "0000000000000000", name, "c=plain,d=20000,dest=1", "hello"}));
-      }
+        return command({"ENQUEUE", text_or(words, "key", "0000000000000000"), id, list, body});
+      };
+      for (int i = 0; i < int(number(words, "clients", 0)); ++i)
+        say(plain.at(1) + std::to_string(i), document(plain.at(1) + std::to_string(i)));
+      if (words.count("clients")) return;
+      auto count = int(number(words, "times", 1));
+      std::string out;
+      for (int i = 0; i < count; ++i)
+        out += document(count > 1 ? plain.at(2) + std::to_string(i) : plain.at(2));
+      say(plain.at(1), out);
     } else if (verb == "hear") {
       auto wanted = rest_of(2);
       int fd = client(plain.at(1));
