Take a refusal that ends a new connection as a connection cap met, and give unused ones back

Lines at fault: count() took it for a met limit (own_pace, refused_in_row, failed()); nothing closed idle connections but their age. Ruled out: the limit (reports said none, left share 1), room and store (no document turned away), list and notices (told in time). The sockets now tell whether an answer ended its connection (Outcome::hung_up). Folded in the module: may_reject, in_turn, is_spent and others, same rules.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -261,8 +261,9 @@
          << static_cast<std::int64_t>(std::ceil(reject.wait * 1000.0)) << '\n';
   for (DocId doc : decided.abandoned)
     out_ << "drop_request " << number << ' ' << static_cast<std::uint64_t>(doc) << '\n';
-  for (EndpointId endpoint : decided.closed)
-    out_ << "close " << number << ' ' << addresses_.at(static_cast<std::uint64_t>(endpoint)) << '\n';
+  for (const auto& one : decided.closed)  // this wire can only say all of them
+    if (one.idle_least == 0)
+      out_ << "close " << number << ' ' << addresses_.at(static_cast<std::uint64_t>(one.endpoint)) << '\n';
   for (const auto& sent : decided.transmitted)
     out_ << "hand_off " << number << ' ' << static_cast<std::uint64_t>(sent.doc) << ' '
          << static_cast<std::int64_t>(std::floor(sent.time_out * 1000.0)) << ' '
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -22,7 +22,7 @@
 // The design's own values.
 constexpr Millis ladder_base = 500;
 constexpr double ladder_jitter = 0.2;
-constexpr int failures_to_open = 5;
+constexpr int failures_to_open = 5, follow_calls = 3;
 constexpr Millis trial_pause = 1000;
 constexpr double slot_share = 0.75;
 constexpr Millis slow_call = 3000;
@@ -68,8 +68,7 @@
   Standing standing = Standing::listed;
   Route* route = nullptr;
   std::uint64_t rank = 0;
-  int calls_out = 0, failures_in_row = 0;
-  int room = 0;  // calls at its connection cap, once met; 0: not met
+  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, when last met
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never,
          gone_at = never;
 };
@@ -206,7 +205,8 @@
     call.counted = true;
     if (--call.docs == 0) {
       --call.route->calls_out;
-      if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_, used_.insert(call.endpoint->id);
+      if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_;
+      used_.insert(call.endpoint->id);
       --calls_out_, freed_ -= call.called_off;
     }
     if (auto holder = docs_.find(got.doc); holder != docs_.end()) {
@@ -228,14 +228,13 @@
   }
 
   void withdraw(DocId id) override {
-    if (auto found = docs_.find(id); found != docs_.end()) close(found->second);
+    if (docs_.count(id)) close(docs_[id]);
   }
 
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
   bool knows(DestinationId id) const override { return !ranked(id).empty(); }
-  // At the door: after the first step of the ladder, or when the destination may take a call, if that is
-  // later.
+  // At the door: after the ladder's first step, or when the destination may take a call, if that is later.
   Millis come_back(DestinationId id) override {
     Millis free = free_at(id), pause = varied(ladder_base);
     return std::min(set_.reject_wait_max, free < never ? std::max(pause, free - now_) : pause);
@@ -269,12 +268,14 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Where connections fail, endpoints may take only so many, idle ones counted. What this relay would
-    // hardly use again before its idle time equals many calls is closed at once; so is all to one not listed.
+    // Endpoints may take only so many connections, idle ones counted. Where some fail, what this relay would
+    // hardly use again is closed at once, as is all to one not listed; where a cap was met, what lies unused:
+    // other relays would be turned away for it.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
       bool rare = unconnected_.read(now_) > 0.3 && e.route->calls.per_second(now_) * usual(*e.route) < 100;
-      if (e.calls_out == 0 && (rare || e.standing != Standing::listed)) done_.closed.push_back(id);
+      if (e.calls_out == 0 && (rare || e.standing != Standing::listed)) done_.closed.push_back({id});
+      else if (now_ < e.room_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
     if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
@@ -293,7 +294,6 @@
 
   static constexpr Millis stall = 1000, longest_span = 2500;
   static constexpr double share_slack = 1.3;
-  static constexpr int follow_calls = 3;
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
 
@@ -321,7 +321,8 @@
     route.ended.add(now_, 1);
     if (got.ending == Ending::not_connected) unconnected_.add(now_, 1);
     if (got.took > slow_call) route.slow.add(now_, 1);
-    if (route.failures_in_row == 1 && call.sent > route.failing_since)
+    bool at_cap = got.ending == Ending::refused && got.hung_up && got.kept == 0;
+    if (!at_cap && route.failures_in_row == 1 && call.sent > route.failing_since)
       (got.ending == Ending::answered ? again_good_ : again_bad_).add(now_, 1);
     if (got.ending == Ending::answered) {
       route.took.add(now_, got.took), route.timed.add(now_, 1), route.good.add(now_, 1);
@@ -333,9 +334,11 @@
       return;
     }
     // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
-    if (got.ending == Ending::not_connected && call.sent - endpoint.answered_at < 2000 &&
-        endpoint.calls_out > 1) {
-      endpoint.room = std::max(1, endpoint.calls_out - 1), endpoint.room_met_at = now_;
+    // One that answers a new connection's first call by a refusal and the connection's end has met its cap
+    // too, maybe by those of other relays: no limit, outage or queue is told by that.
+    if (at_cap || (got.ending == Ending::not_connected && call.sent - endpoint.answered_at < 2000 &&
+                   endpoint.calls_out > 1)) {
+      endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_;
       return;
     }
     if (got.ending == Ending::refused) {
@@ -362,8 +365,7 @@
   // while connections idle for as long are closed before use; a new one costs.
   void broke_idle(const Route& route, Millis idle) {
     if (idle > 500) idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * idle);
-    idle_breaks_.add(now_, 1);
-    idle_broken_ = route.name;
+    idle_breaks_.add(now_, 1), idle_broken_ = route.name;
     if (idle_breaks_.read(now_) < 3) log(route, "idle connection broke", idle, idle_breaks_.read(now_));
   }
 
@@ -435,7 +437,9 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
+      if (now_ < e.room_met_at + 30000) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
+      used_.erase(id);
       for (auto& [destination, ranked] : ranking_) std::erase(ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
     }
@@ -461,18 +465,16 @@
 
   // Rule 2: a rejection tells the client that trying again is harmless.
   bool may_reject(const Doc& doc) const {
-    if (doc.type->repeat == Repeat::replayable) return true;
-    if (doc.out > 0) return false;
-    if (!doc.may_have_run()) return true;
-    return doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere;
+    bool known = doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere;
+    return doc.type->repeat == Repeat::replayable || (doc.out == 0 && (known || !doc.may_have_run()));
   }
 
   // Rule 5: documents of one key one at a time, in order; the key rests after an unknown outcome.
   bool in_turn(const Doc& doc) {
     if (!doc.ordered) return true;
     const KeyLane& lane = lanes_[doc.key];
-    if (*lane.waiting.begin() != doc.turn_taken) return false;
-    return doc.tries > 0 || (lane.out == 0 && now_ >= lane.rests_until);
+    bool first = *lane.waiting.begin() == doc.turn_taken;
+    return first && (doc.tries > 0 || (lane.out == 0 && now_ >= lane.rests_until));
   }
 
   bool sick(Route& route) {
@@ -546,6 +548,11 @@
     return found == ranking_.end() ? none_ : found->second;
   }
 
+  // At a connection cap: calls stay under the number met, one more is tried after each pause.
+  Millis room_at(const Endpoint& e) const {
+    return e.room_met_at + std::max(0, e.calls_out + 1 - e.room) * ladder_base;
+  }
+
   bool joins(const Endpoint& endpoint) {
     auto bundle = bundles_.find(endpoint.id);
     return bundle != bundles_.end() && calls_[bundle->second].docs < endpoint.route->bundle_max &&
@@ -560,15 +567,12 @@
     };
     for (Endpoint* e : ranked(doc.destination)) {
       if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
-      // A trial may end without an outcome: no binding document is risked while one that may go again waits
-      // there.
+      // A trial may end without an outcome: no binding document is risked while a harmless one waits there.
       if (doc.type->repeat == Repeat::binding && (e->route->mode != Mode::closed || sick(*e->route)) &&
           harmless_[doc.destination] > 0)
         continue;
-      if (!joins(*e)) {
-        if (calls_out_ >= slots || free_at(*e->route) > now_) continue;
-        if (e->room > 0 && now_ < e->room_met_at + 5000 && e->calls_out >= e->room) continue;
-      }
+      bool free = calls_out_ < slots && now_ >= room_at(*e) && now_ >= free_at(*e->route);
+      if (!free && !joins(*e)) continue;
       if (!best || burden(*e) < burden(*best)) best = e;
     }
     return best;
@@ -577,14 +581,13 @@
   Millis time_out(const Doc& doc, Route& route) {
     Millis left = doc.expiry - margin() - now_;
     if (doc.type->repeat == Repeat::binding) return left;  // a time-out would only make its outcome unknown
-    Millis patient = std::max(doc.type->agreed_time, 6 * usual(route)) * route.patience;
-    return std::min(left, std::max(1500.0, patient));
+    return std::min(left,
+                    std::max(1500.0, std::max(doc.type->agreed_time, 6 * usual(route)) * route.patience));
   }
 
   // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
   Grade urgency(const Doc& doc) {
-    Millis lead = 0;
-    if (knows(doc.destination)) lead = usual(*ranked(doc.destination).front()->route);
+    Millis lead = knows(doc.destination) ? usual(*ranked(doc.destination).front()->route) : 0;
     if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
     if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
     double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
@@ -610,9 +613,8 @@
   // Rule 1: a final answer before the client's time is up.
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
   bool is_spent(Doc& doc) {
-    if (doc.out > 0) return false;
-    if (doc.tries >= set_.max_transmissions || doc.not_before >= doc.expiry - margin()) return true;
-    return !may_go_again(doc, std::max(now_, doc.not_before));
+    bool late = doc.tries >= set_.max_transmissions || doc.not_before >= doc.expiry - margin();
+    return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
   void end(Doc& doc) {
     Millis free = free_at(doc.destination);  // with time left, the client is told it
@@ -641,7 +643,7 @@
     if (!joins(endpoint)) {
       bundles_[endpoint.id] = ++call_number_;
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
-      if (idle > done_.idle_most) done_.closed.push_back(endpoint.id), idle = 0;
+      if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
       calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
@@ -693,7 +695,7 @@
       if (doc.not_before > now_) continue;
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
       for (Endpoint* e : ranked(doc.destination))
-        if (e->standing == Standing::listed) wake_at(free_at(*e->route)), wake_at(e->room_met_at + 5000);
+        if (e->standing == Standing::listed) wake_at(free_at(*e->route)), wake_at(room_at(*e));
     }
     return due;
   }
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -103,6 +103,7 @@
   Millis wait = 0;
   Millis took = 0;
   Millis kept = -1;  // how long its connection had lain idle; 0: it was new; negative: the host cannot tell
+  bool hung_up = false;  // the endpoint ended the connection with its answer
   Hints hints;
 };
 
@@ -122,12 +123,17 @@
   Millis wait = 0;
 };
 
+struct Close {  // idle connections
+  EndpointId endpoint{};
+  Millis idle_least = 0;  // that lay idle for so long
+};
+
 struct Decided {
   std::vector<Reject> rejected;
   std::vector<DocId> abandoned;
   std::vector<Transmit> transmitted;
-  std::vector<EndpointId> closed;  // idle connections, before any transmission of this turn
-  Millis idle_most = 0;            // a connection that lay idle for longer is not used again
+  std::vector<Close> closed;  // before any transmission of this turn
+  Millis idle_most = 0;       // a connection that lay idle for longer is not used again
   std::vector<CallOff> called_off;
   std::vector<EndpointId> forgotten;  // gone for long, with nothing out: never named again
   bool follow_list = false;
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -181,7 +181,7 @@
     outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
     outcome.ending = verdict.ending, outcome.over = verdict.over;
     outcome.took = owner_.loop_.now() - sent_at_;
-    outcome.wait = wait, outcome.hints = hints, outcome.kept = kept_;
+    outcome.wait = wait, outcome.hints = hints, outcome.kept = kept_, outcome.hung_up = hung_up_;
     owner_.under_way_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
   }
@@ -227,6 +227,7 @@
       log_line("answer of %llx: %s", static_cast<unsigned long long>(endpoint_), fault.what());
     }
     auto all = verdict_of(answer);
+    hung_up_ = answer.closes;
     if (!several_ || answer.status != 200) return end_all(all, wait, hints);
     auto states = nlohmann::json::parse(answer.body(), nullptr, false);
     std::map<std::string, Verdict> verdicts;
@@ -250,6 +251,7 @@
   std::vector<Item> items_;
   std::string request_;
   bool several_ = false;
+  bool hung_up_ = false;   // the answer ends its connection
   bool trailing_ = false;  // the outcome is told, the rest of the answer still awaited
   Millis sent_at_ = 0, idle_since_ = 0, kept_ = 0;
 };
@@ -306,11 +308,14 @@
   if (found != under_way_.end()) found->second->take_out(doc, transmission, Ending::called_off);
 }
 
-void Endpoints::close_idle(EndpointId endpoint) {
+void Endpoints::close_idle(EndpointId endpoint, Millis idle_least) {
   auto found = places_.find(endpoint);
   if (found == places_.end()) return;
-  for (auto& line : found->second.idle) loop_.bury(std::move(line));
-  found->second.idle.clear();
+  auto& idle = found->second.idle;
+  while (!idle.empty() && loop_.now() - idle.back()->idle_since() >= idle_least) {
+    loop_.bury(std::move(idle.back()));
+    idle.pop_back();
+  }
 }
 
 void Endpoints::forget(EndpointId endpoint) {
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -44,7 +44,7 @@
   void locate(EndpointId endpoint, const Address& address);
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
   void call_off(DocId doc, int transmission);
-  void close_idle(EndpointId endpoint);
+  void close_idle(EndpointId endpoint, Millis idle_least = 0);
   void forget(EndpointId endpoint);  // no call of it is out
   bool none_out() const { return busy_.empty(); }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -222,7 +222,7 @@
   bool kept = store_.flush();
   if (!kept) hold_back(decided.transmitted);
   answer_arrived(kept);
-  for (EndpointId endpoint : decided.closed) endpoints_.close_idle(endpoint);
+  for (const auto& one : decided.closed) endpoints_.close_idle(one.endpoint, one.idle_least);
   endpoints_.idle_most = decided.idle_most;
   if (kept) send(decided.transmitted);
   for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -168,7 +168,8 @@
           pending_.emplace(now_ + set_.tick, o);
           break;
         }
-    for (EndpointId e : done.closed) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
+    for (auto [e, idle_least] : done.closed)
+      if (idle_least == 0) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
     for (EndpointId e : done.forgotten) ended_["forgotten"][DocId(std::uint64_t(e))] = now_;
     for (const auto& t : done.transmitted) send(t);
     wake_ = done.wake_in < 0 ? 1e18 : now_ + std::ceil(std::max(done.wake_in, 1.0) / set_.tick) * set_.tick;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -272,6 +272,14 @@
     if (manner == "reset" || (used && manner == "200" && endpoint.how.count("fragile")))
       return drop(fd, true), false;
     if (manner == "silent") return true;
+    auto here = std::count_if(peers_.begin(), peers_.end(), [&](const auto& other) {
+      return !other.second.client && other.second.endpoint == peer.endpoint;
+    });
+    if (!used && double(here) > number(endpoint.how, "conns", 1e9)) {
+      later_.emplace(now(),
+                     Later{fd, "HTTP/1.1 503 Full\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true});
+      return true;
+    }
     auto answer =
         endpoint.how.count("raw") ? unescaped(endpoint.how.at("raw")) : "HTTP/1.1 " + manner + " Said\r\n";
     if (!endpoint.how.count("raw")) {
