--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -550,7 +550,7 @@
 
   // At a connection cap: calls stay under the number met, one more is tried after each pause.
   Millis room_at(const Endpoint& e) const {
-    return e.room_met_at + std::max(0, e.calls_out + 1 - e.room) * ladder_base;
+    return e.calls_out < e.room ? now_ : e.room_met_at + (e.room > 0 ? 5000 : ladder_base);
   }
 
   bool joins(const Endpoint& endpoint) {
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -108,7 +108,7 @@
   };
   struct Peer {  // an accepted connection, or a client's
     std::string endpoint, in, out;
-    bool agent = false, client = false, ended = false, used = false;
+    bool agent = false, client = false, ended = false, used = false, crowded = false;
     std::int64_t watching = -1;
   };
   struct Later {
@@ -196,6 +196,10 @@
     if (fd < 0) return;
     ++connections_[endpoint];
     peers_[fd].endpoint = endpoint, peers_[fd].agent = agent;
+    auto here = std::count_if(peers_.begin(), peers_.end(), [&](const auto& other) {
+      return !other.second.client && !other.second.crowded && other.second.endpoint == endpoint;
+    });
+    peers_[fd].crowded = !agent && double(here) > number(endpoints_.at(endpoint).how, "conns", 1e9);
   }
   void write(int fd, Peer& peer) {
     auto count = ::send(fd, peer.out.data(), peer.out.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -272,10 +276,7 @@
     if (manner == "reset" || (used && manner == "200" && endpoint.how.count("fragile")))
       return drop(fd, true), false;
     if (manner == "silent") return true;
-    auto here = std::count_if(peers_.begin(), peers_.end(), [&](const auto& other) {
-      return !other.second.client && other.second.endpoint == peer.endpoint;
-    });
-    if (!used && double(here) > number(endpoint.how, "conns", 1e9)) {
+    if (peer.crowded) {
       later_.emplace(now(),
                      Later{fd, "HTTP/1.1 503 Full\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true});
       return true;
