Close the client connection at rest for longest once half of the clients' share is at rest

Whenever a flood of other connections made the relay close those at rest sooner, 250 a second came in. Lines at fault: Clients::late() leaves all at rest for good, make_room() closes them only once the relay's own places are full. Ruled out: listener paused (never), documents turned away by the relay (none), room, store, slots.

--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -49,6 +49,7 @@
   bool is_idle() const {
     return answers_.empty() && stream_.unsent() == 0 && (finishing_ || stream_.received().empty());
   }
+  bool at_rest() const { return has_asked() && !finishing_ && is_idle(); }
   Millis used_at() const { return used_at_; }
   bool has_asked() const { return first_ > 0; }
   // Nothing is open, and no request has arrived that was not read yet.
@@ -62,7 +63,8 @@
     pass_on();
     if (finishing_) return finish();
     go_on();
-    if (input_over_) close_if_idle();
+    if (input_over_) return close_if_idle();
+    if (at_rest()) owner_.thin_out();
   }
 
   // Between requests only: one that has arrived in part is still answered, if the rest can come.
@@ -130,7 +132,8 @@
     }
     pass_on();
     if (!finishing_ && before != first_ + answers_.size()) due_.set(used_at_ + whole_within);
-    if (owner_.closing_) close_if_idle();
+    if (owner_.closing_) return close_if_idle();
+    if (at_rest()) owner_.thin_out();
   }
 
   void carry_out(const std::vector<std::string_view>& words, std::uint64_t number) {
@@ -152,8 +155,8 @@
   Millis used_at_ = 0;
 };
 
-Clients::Clients(Loop& loop, const Address& at, std::size_t connections_most)
-    : loop_(loop), connections_most_(connections_most), full_(loop, [this] { make_room(); }) {
+Clients::Clients(Loop& loop, const Address& at, const Limits& limits)
+    : loop_(loop), limits_(limits), full_(loop, [this] { make_room(); }) {
   listener_ = std::make_unique<Listener>(loop_, at, [this](int fd) { taken(fd); });
 }
 
@@ -162,7 +165,7 @@
 void Clients::taken(int fd) {
   auto number = ++last_;
   clients_[number] = std::make_unique<Client>(*this, number, fd);
-  if (clients_.size() >= connections_most_) make_room();
+  if (clients_.size() >= limits_.connections_most) make_room();
 }
 
 // Guards against connections that are kept open unused until no other client gets in: one ended here, one
@@ -170,10 +173,10 @@
 // may have its first request on the way; only while such fill half of the places do those that have asked
 // stay. With none to close, further ones wait in the queue.
 void Clients::make_room() {
-  if (!listener_ || clients_.size() < connections_most_) return;
+  if (!listener_ || clients_.size() < limits_.connections_most) return;
   auto fresh =
       std::count_if(clients_.begin(), clients_.end(), [](const auto& at) { return !at.second->has_asked(); });
-  bool flood = 2 * static_cast<std::size_t>(fresh) > connections_most_;
+  bool flood = 2 * static_cast<std::size_t>(fresh) > limits_.connections_most;
   const Client* oldest = nullptr;
   std::uint64_t number = 0;
   for (const auto& [other, client] : clients_) {
@@ -187,12 +190,25 @@
   full_.set(loop_.now() + look_again);
 }
 
+// Guards against clients that ask once and hold their connection: they may hold only so many, and once all of
+// those rest here, nobody asks any more. Beyond the bound the one at rest for longest is closed.
+void Clients::thin_out() {
+  std::size_t at_rest = 0;
+  const Client* oldest = nullptr;
+  std::uint64_t number = 0;
+  for (const auto& [other, client] : clients_) {
+    if (!client->at_rest()) continue;
+    if (++at_rest == 1 || client->used_at() < oldest->used_at()) oldest = client.get(), number = other;
+  }
+  if (at_rest > limits_.at_rest_most && oldest->may_make_way()) ended(number);
+}
+
 void Clients::ended(std::uint64_t number) {
   auto found = clients_.find(number);
   if (found == clients_.end()) return;
   loop_.bury(std::move(found->second));
   clients_.erase(found);
-  if (listener_ && clients_.size() < connections_most_) listener_->pause(false), full_.clear();
+  if (listener_ && clients_.size() < limits_.connections_most) listener_->pause(false), full_.clear();
 }
 
 void Clients::answer(AnswerTo to, const std::string& text) {
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -25,7 +25,10 @@
 
 class Clients {
  public:
-  Clients(Loop& loop, const Address& at, std::size_t connections_most);
+  struct Limits {
+    std::size_t connections_most = 0, at_rest_most = 0;
+  };
+  Clients(Loop& loop, const Address& at, const Limits& limits);
   ~Clients();
 
   std::function<void(const Handed&, AnswerTo)> on_document;
@@ -39,9 +42,10 @@
   void taken(int fd);
   void ended(std::uint64_t number);
   void make_room();
+  void thin_out();
 
   Loop& loop_;
-  const std::size_t connections_most_;
+  const Limits limits_;
   std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
   std::uint64_t last_ = 0;
   bool closing_ = false;
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -124,6 +124,7 @@
   if (sockets < spare_descriptors + 4)
     throw std::runtime_error("too few sockets: " + std::to_string(sockets));
   config.client_connections = (sockets - spare_descriptors) / 2;
+  config.clients_at_rest = sockets / 6;  // half of what the platform lets clients hold for requests
   config.endpoint_connections = sockets - spare_descriptors - config.client_connections;
   config.disk_bytes = static_cast<std::size_t>(limits.value("disk_mb", 1.0) * 1e6);
   Pairs pairs;
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -31,7 +31,7 @@
   Address listen, discovery;
   std::string state_folder;
   std::uint64_t seed = 1;
-  std::size_t client_connections = 0, endpoint_connections = 0, disk_bytes = 0;
+  std::size_t client_connections = 0, clients_at_rest = 0, endpoint_connections = 0, disk_bytes = 0;
   Settings settings;
   std::unordered_map<std::string, DocTypeId> doc_types;
   std::unordered_map<std::string, TenantId> tenants;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -29,7 +29,7 @@
     : config_(std::move(config)),
       store_(config_.state_folder, config_.disk_bytes),
       decision_(Decision::make(config_.settings, config_.seed)),
-      clients_(loop_, config_.listen, config_.client_connections),
+      clients_(loop_, config_.listen, {config_.client_connections, config_.clients_at_rest}),
       endpoints_(loop_, {config_.connect_within, config_.idle_life, config_.endpoint_connections}),
       watch_(loop_, config_.discovery),
       notices_(loop_, config_.discovery),
