--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -254,7 +254,7 @@
     out_ << "panic " << number << ' ' << instance.fault << '\n';
     return;
   }
-  if (decided.follow_list) out_ << "follow " << number << " 1\n";
+  if (decided.follow_list > 0) out_ << "follow " << number << " 1\n";
   for (const auto& line : decided.log) out_ << "say_log " << number << ' ' << line << '\n';
   for (const auto& reject : decided.rejected)
     out_ << "overload_reply " << number << ' ' << static_cast<std::uint64_t>(reject.doc) << ' '
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -278,7 +278,7 @@
       else if (now_ < e.room_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
-    if (now_ >= follow_at_) done_.follow_list = true, follow_at_ = never;
+    if (now_ >= follow_at_) done_.follow_list = trial_pause, follow_at_ = never;  // a lost watch shows soon
     due_ = next_due(), done_.wake_in = due_ >= never ? -1 : std::max(0.0, due_ - now_);
     return std::move(done_);
   }
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -136,7 +136,7 @@
   Millis idle_most = 0;       // a connection that lay idle for longer is not used again
   std::vector<CallOff> called_off;
   std::vector<EndpointId> forgotten;  // gone for long, with nothing out: never named again
-  bool follow_list = false;
+  Millis follow_list = 0;             // follow it, and want an answer within so long each time; 0: not now
   std::vector<std::string> log;
   Millis wake_in = -1;  // negative: only when something happens
 };
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t list_most = 4 << 20;
 constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
 constexpr Millis answer_within = 2000;
-constexpr Millis watch_wait = 20000;  // as long as the protocol's own example waits
 
 }  // namespace
 
@@ -96,20 +95,23 @@
 void Watch::move_to(const Address& agent) {
   asker_.move_to(agent);
   whole_ = true;
-  follow();
+  follow(wait_);
 }
 
-void Watch::follow() {
+void Watch::follow(Millis wait) {
+  wait_ = wait;
   if (asker_.asking()) return;
   if (whole_) return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
   next();
 }
 
 void Watch::next() {
-  auto wait = std::to_string(static_cast<int>(watch_wait));
+  // Guards against a watch whose answer is lost: told of nothing, the relay would go on calling those that
+  // drain.
+  auto wait = std::to_string(static_cast<int>(wait_));
   asker_.ask("GET /v1/servers?after=" + std::to_string(version()) + "&wait_ms=" + wait +
                  " HTTP/1.1\r\nHost: agent\r\n\r\n",
-             watch_wait + answer_within);
+             wait_ + answer_within);
 }
 
 Notices::Notices(Loop& loop, const Address& agent)
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -47,12 +47,13 @@
   std::function<bool(std::string_view body)> on_list;  // takes in an answer; false: it cannot be read
   std::function<void()> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
-  void follow();
-  void move_to(const Address& agent);  // followed there at once, from the whole list on
+  void follow(Millis wait);               // so long for each answer, also where nothing changes
+  void move_to(const Address& agent);     // followed there at once, from the whole list on
 
  private:
   void next();
   Asker asker_;
+  Millis wait_ = 0;
   bool whole_ = true;  // an agent just met has not told its whole list yet
 };
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -110,6 +110,7 @@
     std::string endpoint, in, out;
     bool agent = false, client = false, ended = false, used = false, crowded = false;
     std::int64_t watching = -1;
+    double watch_ends = 0;
   };
   struct Later {
     int fd;
@@ -160,6 +161,8 @@
       poll(polled.data(), polled.size(), 2);
       for (auto& one : polled)
         if (one.revents != 0) ready(one.fd, one.revents);
+      for (auto& [fd, peer] : peers_)
+        if (peer.agent && peer.watching >= 0 && now() >= peer.watch_ends) tell_list(fd);
       while (!later_.empty() && later_.begin()->first <= now()) {
         auto due = later_.begin()->second;
         later_.erase(later_.begin());
@@ -239,6 +242,7 @@
       tell_list(fd);
     } else if (head.rfind("GET /v1/servers?after=", 0) == 0) {
       peer.watching = std::stoll(head.substr(22));
+      peer.watch_ends = now() + std::stod(head.substr(head.find("wait_ms=") + 8));
       if (peer.watching < revision_) tell_list(fd);
     } else {
       ADD_FAILURE() << "the agent was asked: " << head;
@@ -440,6 +444,8 @@
         auto at = peer++;
         if (at->second.agent) drop(at->first);
       }
+    } else if (verb == "agent" && plain.at(1) == "forgets") {
+      for (auto& [fd, peer] : peers_) peer.watching = -1;
     } else if (verb == "agent") {
       agent_silent_ = plain.at(1) == "silent";
     } else if (verb == "reload") {
