Try one more call each half second at a connection cap that refusals tell

Seen in incident rc113e1: after the release one relay held two connections at the destination with most traffic, 400 documents waiting, slots free, while the other held six and had nothing to wait: each hit of the cap held it at two for 5 s. Line at fault: room_at() held the number met for 5 s also where a try costs no more than a turned away connection. Test: cap_grows.scene, fails without either half.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -69,6 +69,7 @@
   Route* route = nullptr;
   std::uint64_t rank = 0;
   int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, when last met
+  bool turns_away = false;                           // it met that one by refusals, which cost little
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never,
          gone_at = never;
 };
@@ -145,8 +146,7 @@
         if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
         auto& ranked = ranking_[entry.destination];
         ranked.push_back(&endpoint);
-        std::sort(ranked.begin(), ranked.end(),
-                  [](const Endpoint* a, const Endpoint* b) { return a->rank < b->rank; });
+        std::ranges::sort(ranked, {}, &Endpoint::rank);
       }
       endpoint.standing = entry.standing, used_.insert(entry.endpoint);
       if (set_.limits_listed && endpoint.route->hinted_at < 0) endpoint.route->limit = entry.listed_rate;
@@ -338,7 +338,7 @@
     // too, maybe by those of other relays: no limit, outage or queue is told by that.
     if (at_cap || (got.ending == Ending::not_connected && call.sent - endpoint.answered_at < 2000 &&
                    endpoint.calls_out > 1)) {
-      endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_;
+      endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_, endpoint.turns_away = at_cap;
       return;
     }
     if (got.ending == Ending::refused) {
@@ -439,11 +439,10 @@
     for (auto& [id, e] : endpoints_) {
       if (now_ < e.room_met_at + 30000) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
-      used_.erase(id);
       for (auto& [destination, ranked] : ranking_) std::erase(ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
     }
-    for (EndpointId id : done_.forgotten) endpoints_.erase(id);
+    for (EndpointId id : done_.forgotten) endpoints_.erase(id), used_.erase(id);
     std::erase_if(ranking_, [](auto& entry) { return entry.second.empty(); });
     std::erase_if(routes_, [&](auto& entry) {
       return entry.second.endpoints == 0 && now_ >= entry.second.told_until && !is_cold(entry.second);
@@ -548,9 +547,10 @@
     return found == ranking_.end() ? none_ : found->second;
   }
 
-  // At a connection cap: calls stay under the number met, one more is tried after each pause.
+  // At a connection cap: calls stay under the number met for a while, or one more is tried after each pause.
   Millis room_at(const Endpoint& e) const {
-    return e.calls_out < e.room ? now_ : e.room_met_at + (e.room > 0 ? 5000 : ladder_base);
+    int more = std::max(0, e.calls_out + 1 - e.room);
+    return e.room_met_at + (e.turns_away ? more * ladder_base : more > 0 ? 5000 : 0);
   }
 
   bool joins(const Endpoint& endpoint) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -26,6 +26,7 @@
 const std::map<std::string, Ending> endings{{"answered", Ending::answered},
                                             {"error", Ending::error},
                                             {"refused", Ending::refused},
+                                            {"turned_away", Ending::refused},
                                             {"not_connected", Ending::not_connected},
                                             {"broken", Ending::broken}};
 
@@ -223,6 +224,7 @@
     o.ending = late ? Ending::timed_out : endings.at(m.ending);
     o.took = late ? (t.time_out > 0 ? t.time_out : k.expiry - now_) : m.after;
     if (o.ending == Ending::refused) o.wait = m.wait;
+    if (m.ending == "turned_away") o.kept = 0, o.hung_up = true;
     if (m.limit > 0) o.hints = {true, m.share, m.limit};
     ++k.out;
     pending_.emplace(now_ + std::ceil(o.took / set_.tick) * set_.tick, o);
