--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -155,7 +155,7 @@
       endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
-  void list_failed() override { follow_at_ = now_ + varied(trial_pause); }
+  void list_failed() override { follow_at_ = now_ + varied(ladder_base); }
 
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
