Look at destinations and the overdue call once a pass, not once a document, to spare CPU

Lines at fault: wants_slot() walked all calls for each document that a slot would help; next_due(), choose() and urgency() looked up destination and pace for each document, and all documents were sorted again for each pass.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -14,38 +14,10 @@
 #include <tuple>
 #include <utility>
 
-namespace rockcrank {
-namespace {
-
-constexpr Millis never = 1e18;
-
-// The design's own values.
-constexpr Millis ladder_base = 500;
-constexpr double ladder_jitter = 0.2;
-constexpr int failures_to_open = 5, follow_calls = 3;
-constexpr Millis trial_pause = 1000;
-constexpr double slot_share = 0.75;
-constexpr Millis slow_call = 3000;
-constexpr double slow_share = 0.01;
+#include "decision/state.h"
 
-// A sum that fades with its span, brought up to date when it is read.
-class Fading {
- public:
-  explicit Fading(Millis span) : span_(span) {}
-  void add(Millis now, double amount) { sum_ = read(now) + amount; }
-  double read(Millis now) {
-    if (now > at_) sum_ *= std::exp((at_ - now) / span_);
-    at_ = std::max(at_, now);
-    return sum_;
-  }
-  double per_second(Millis now) { return read(now) * 1000 / span_; }
-
- private:
-  Millis span_, at_ = 0;
-  double sum_ = 0;
-};
-
-enum class Mode { closed, open, trial, following };
+namespace rockcrank {
+namespace state {
 
 // What limits and outages apply to: a destination, or one endpoint where its routes are apart.
 struct Route {
@@ -62,55 +34,20 @@
       timed{8000};
 };
 
-struct Endpoint {
-  EndpointId id{};
-  HallId hall{};
-  Standing standing = Standing::listed;
-  Route* route = nullptr;
-  std::uint64_t rank = 0;
-  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, when last met
-  bool turns_away = false;                           // it met that one by refusals, which cost little
-  Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never,
-         gone_at = never;
-};
+}  // namespace state
 
-struct Call {
-  Route* route = nullptr;
-  Endpoint* endpoint = nullptr;
-  Millis sent = 0;
-  int docs = 0;
-  Millis idle = 0;  // how long the endpoint had had no call before this one
-  bool counted = false, overdue = false, called_off = false;
-};
-
-struct Doc {
-  DocId id{};
-  const DocType* type = nullptr;
-  DestinationId destination{};
-  bool over_share = false, ordered = false;
-  KeyId key{};
-  std::uint64_t turn_taken = 0;
-  Millis agreed_by = 0, expiry = 0, not_before = 0;
-  int tries = 0, failures = 0, out = 0;
-  Millis risked_at = never;  // the send of the first transmission that may have run
-  HallId risked_hall{};
-  bool may_have_run() const { return risked_at < never; }
-};
+namespace {
 
-// Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
-struct KeyLane {
-  std::set<std::uint64_t> waiting;
-  int out = 0;
-  Millis rests_until = -never;
-  bool is_over(Millis now) const { return waiting.empty() && out == 0 && now >= rests_until; }
-};
+using namespace state;
 
-std::uint64_t mixed(std::uint64_t a, std::uint64_t b) {
-  std::uint64_t x = a * 0x9e3779b97f4a7c15ULL + b;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
+// The design's own values.
+constexpr Millis ladder_base = 500;
+constexpr double ladder_jitter = 0.2;
+constexpr int failures_to_open = 5, follow_calls = 3;
+constexpr Millis trial_pause = 1000;
+constexpr double slot_share = 0.75;
+constexpr Millis slow_call = 3000;
+constexpr double slow_share = 0.01;
 
 class Decider final : public Decision {
  public:
@@ -144,7 +81,7 @@
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint)) >> 1;
         if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
-        auto& ranked = ranking_[entry.destination];
+        auto& ranked = destinations_[entry.destination].ranked;
         ranked.push_back(&endpoint);
         std::ranges::sort(ranked, {}, &Endpoint::rank);
       }
@@ -159,13 +96,13 @@
 
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
-    doc.id = given.id, doc.destination = given.destination, doc.expiry = now_ + given.left;
+    doc.id = given.id, doc.to = &destinations_[given.destination], doc.expiry = now_ + given.left;
     doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
     // A document handed in with less left than its agreed time is in a hurry, not late.
     doc.agreed_by = given.left < doc.type->agreed_time && given.transmissions == 0
                         ? doc.expiry - margin()
                         : doc.expiry - doc.type->lifetime + doc.type->agreed_time;
-    doc.turn_taken = ++taken_, doc.key = given.key, doc.tries = given.transmissions;
+    doc.turn_taken = ++taken_, ++doc.to->docs, doc.key = given.key, doc.tries = given.transmissions;
     doc.ordered = doc.type->in_order && given.has_key;
     if (doc.ordered) lanes_[doc.key].waiting.insert(doc.turn_taken);
     // Recovered after a restart: a transmission that was out may have run, and its key rests.
@@ -233,10 +170,13 @@
 
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
-  bool knows(DestinationId id) const override { return !ranked(id).empty(); }
+  bool knows(DestinationId id) const override {
+    auto found = destinations_.find(id);
+    return found != destinations_.end() && !found->second.ranked.empty();
+  }
   // At the door: after the ladder's first step, or when the destination may take a call, if that is later.
   Millis come_back(DestinationId id) override {
-    Millis free = free_at(id), pause = varied(ladder_base);
+    Millis free = knows(id) ? free_at(destinations_[id]) : never, pause = varied(ladder_base);
     return std::min(set_.reject_wait_max, free < never ? std::max(pause, free - now_) : pause);
   }
   bool may_still_go(EndpointId id) const override { return now_ >= endpoints_.at(id).route->told_until; }
@@ -244,6 +184,14 @@
 
   Decided decide() override {
     done_.idle_most = idle_breaks_.read(now_) > 1.2 ? idle_limit_ : never;
+    for (auto& [id, to] : destinations_)
+      to.harmless = 0, to.lead = to.ranked.empty() ? 0 : usual(*to.ranked.front()->route);
+    waiting_.clear();
+    for (auto& [id, doc] : docs_) {
+      doc.to->harmless += is_ready(doc) && doc.type->repeat != Repeat::binding;
+      waiting_.push_back({urgency(doc), &doc});
+    }
+    std::sort(waiting_.begin(), waiting_.end());
     for (bool fired = true; fired;) {
       fired = false;
       // A call out far longer than usual counts as failed at that moment: a hung destination is known before
@@ -254,12 +202,8 @@
       for (const Rule<Route>& rule : route_rules)
         for (auto& [key, route] : routes_)
           if ((this->*rule.when)(route)) (this->*rule.then)(route), fired = true;
-      harmless_.clear(), waiting_.clear();
-      for (auto& [id, doc] : docs_) {
-        if (is_ready(doc) && doc.type->repeat != Repeat::binding) ++harmless_[doc.destination];
-        waiting_.push_back({urgency(doc), &doc});
-      }
-      std::sort(waiting_.begin(), waiting_.end());
+      for (auto& [id, to] : destinations_) to.shut[0] = to.shut[1] = false;
+      overdue_ = furthest_overdue();
       for (const Rule<Doc>& rule : doc_rules)
         for (auto& [grade, doc] : waiting_)
           if (doc && (this->*rule.when)(*doc)) {
@@ -429,6 +373,7 @@
 
   void close(Doc& doc) {
     if (doc.ordered) lanes_[doc.key].waiting.erase(doc.turn_taken);
+    --doc.to->docs, doc.to->harmless -= is_ready(doc) && doc.type->repeat != Repeat::binding;
     docs_.erase(doc.id);
   }
 
@@ -439,11 +384,12 @@
     for (auto& [id, e] : endpoints_) {
       if (now_ < e.room_met_at + 30000) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
-      for (auto& [destination, ranked] : ranking_) std::erase(ranked, &e);
+      for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
     }
     for (EndpointId id : done_.forgotten) endpoints_.erase(id), used_.erase(id);
-    std::erase_if(ranking_, [](auto& entry) { return entry.second.empty(); });
+    std::erase_if(destinations_,
+                  [](auto& entry) { return entry.second.ranked.empty() && !entry.second.docs; });
     std::erase_if(routes_, [&](auto& entry) {
       return entry.second.endpoints == 0 && now_ >= entry.second.told_until && !is_cold(entry.second);
     });
@@ -536,17 +482,12 @@
     return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
 
-  Millis free_at(DestinationId destination) {
+  Millis free_at(const Destination& to) {
     Millis free = never;
-    for (Endpoint* e : ranked(destination)) free = std::min(free, free_at(*e->route));
+    for (Endpoint* e : to.ranked) free = std::min(free, free_at(*e->route));
     return free;
   }
 
-  const std::vector<Endpoint*>& ranked(DestinationId destination) const {
-    auto found = ranking_.find(destination);
-    return found == ranking_.end() ? none_ : found->second;
-  }
-
   // At a connection cap: calls stay under the number met for a while, or one more is tried after each pause.
   Millis room_at(const Endpoint& e) const {
     int more = std::max(0, e.calls_out + 1 - e.room);
@@ -565,16 +506,20 @@
     auto burden = [&](const Endpoint& e) {
       return std::tuple(!joins(e), now_<e.rests_until, e.failures_in_row> 0, e.calls_out);
     };
-    for (Endpoint* e : ranked(doc.destination)) {
-      if (e->standing != Standing::listed || !may_run_at(doc, *e)) continue;
+    bool shut = true;  // for other documents too
+    for (Endpoint* e : doc.to->ranked) {
+      if (e->standing != Standing::listed) continue;
+      bool free = calls_out_ < slots && now_ >= room_at(*e) && now_ >= free_at(*e->route);
+      if (!free && !joins(*e)) continue;
+      shut = false;
+      if (!may_run_at(doc, *e)) continue;
       // A trial may end without an outcome: no binding document is risked while a harmless one waits there.
       if (doc.type->repeat == Repeat::binding && (e->route->mode != Mode::closed || sick(*e->route)) &&
-          harmless_[doc.destination] > 0)
+          doc.to->harmless > 0)
         continue;
-      bool free = calls_out_ < slots && now_ >= room_at(*e) && now_ >= free_at(*e->route);
-      if (!free && !joins(*e)) continue;
       if (!best || burden(*e) < burden(*best)) best = e;
     }
+    doc.to->shut[slots > set_.slots] = shut;
     return best;
   }
 
@@ -587,7 +532,7 @@
 
   // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
   Grade urgency(const Doc& doc) {
-    Millis lead = knows(doc.destination) ? usual(*ranked(doc.destination).front()->route) : 0;
+    Millis lead = doc.to->lead;
     if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
     if (now_ + lead <= doc.agreed_by) return {0, doc.agreed_by, doc.turn_taken};
     double late = (now_ + lead - doc.agreed_by) / doc.type->agreed_time;
@@ -617,7 +562,7 @@
     return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
   void end(Doc& doc) {
-    Millis free = free_at(doc.destination);  // with time left, the client is told it
+    Millis free = free_at(*doc.to);  // with time left, the client is told it
     Millis wait = free < doc.expiry ? std::min(free - now_, set_.reject_wait_max) : 0;
     if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
@@ -633,7 +578,8 @@
 
   bool is_ready(const Doc& doc) const { return doc.out == 0 && now_ >= doc.not_before; }
   bool could_go(Doc& doc, int slots) {
-    return is_ready(doc) && in_turn(doc) && choose(doc, slots) != nullptr;
+    return is_ready(doc) && !doc.to->shut[slots > set_.slots] && in_turn(doc) &&
+           choose(doc, slots) != nullptr;
   }
   bool can_go(Doc& doc) { return could_go(doc, set_.slots); }
   void transmit(Doc& doc) {
@@ -654,19 +600,21 @@
     done_.transmitted.push_back({doc.id, endpoint.id, time_out(doc, route)});
     out_[{doc.id, doc.tries}] = {number, doc.key, doc.ordered};
     if (doc.ordered) ++lanes_[doc.key].out;
+    doc.to->harmless -= doc.type->repeat != Repeat::binding;
     ++doc.tries, ++doc.out;
   }
 
   // Slots taken by calls far overdue at hung destinations starve the healthy ones. While a document waits for
   // a slot only, the call furthest overdue is called off; a binding document is lost with it.
   bool wants_slot(Doc& doc) {
-    if (!set_.may_call_off || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
-    return std::get<0>(urgency(doc)) < 2 && could_go(doc, set_.slots + 1) && furthest_overdue() != nullptr;
+    if (!overdue_ || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
+    return std::get<0>(urgency(doc)) < 2 && could_go(doc, set_.slots + 1);
   }
   // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only
   // slow, and calling off would throw away work that the destinations go on with.
   Call* furthest_overdue() {
     Call* worst = nullptr;
+    if (!set_.may_call_off) return worst;
     double most = hung_.read(now_) > 6 && late_.read(now_) < 0.08 * hung_.read(now_) ? 0.6 : 2.5;
     for (auto& [number, call] : calls_) {
       double by = (now_ - call.sent) / overdue_after(*call.route) * call.route->patience;
@@ -675,12 +623,13 @@
     return worst;
   }
   void call_off(Doc& doc) {
-    Call* call = furthest_overdue();
+    Call* call = overdue_;
     call->called_off = true, ++freed_, doc.not_before = now_ + set_.tick;
     for (auto& [transmission, entry] : out_)
       if (&calls_[std::get<0>(entry)] == call)
         done_.called_off.push_back({transmission.first, transmission.second});
     log(*call->route, "called off for want of a slot", now_ - call->sent, calls_out_);
+    overdue_ = furthest_overdue();
   }
 
   Millis next_due() {
@@ -694,7 +643,11 @@
       wake_at(doc.risked_at + doc.type->key_window - margin()), wake_at(doc.not_before);
       if (doc.not_before > now_) continue;
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
-      for (Endpoint* e : ranked(doc.destination))
+      doc.to->wanted = true;
+    }
+    for (auto& [id, to] : destinations_) {
+      if (!std::exchange(to.wanted, false)) continue;
+      for (Endpoint* e : to.ranked)
         if (e->standing == Standing::listed) wake_at(free_at(*e->route)), wake_at(room_at(*e));
     }
     return due;
@@ -718,11 +671,11 @@
   Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
+  Call* overdue_ = nullptr;        // the furthest, if any
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
-  std::map<DestinationId, std::vector<Endpoint*>> ranking_;
-  const std::vector<Endpoint*> none_;
+  std::map<DestinationId, Destination> destinations_;
   std::map<DocId, Doc> docs_;
   std::map<KeyId, KeyLane> lanes_;
   std::map<std::uint64_t, Call> calls_;
@@ -730,7 +683,6 @@
   std::map<EndpointId, std::uint64_t> bundles_;  // the call opened this turn, by endpoint
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
-  std::map<DestinationId, int> harmless_;  // documents that could go now and may run again
   Decided done_;
   Fading idle_breaks_{30000}, unconnected_{30000};
   Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
--- /dev/null
+++ b/src/decision/state.h
@@ -0,0 +1,96 @@
+// Owns the types in which the decision module keeps what it knows of endpoints, calls and documents, and the
+// sum that fades. It must never decide, nor hold a value that a decision depends on.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "decision/decision.h"
+
+namespace rockcrank::state {
+
+constexpr Millis never = 1e18;
+
+enum class Mode { closed, open, trial, following };
+struct Route;  // the module's own, with the spans of its sums
+
+// A sum that fades with its span, brought up to date when it is read.
+class Fading {
+ public:
+  explicit Fading(Millis span) : span_(span) {}
+  void add(Millis now, double amount) { sum_ = read(now) + amount; }
+  double read(Millis now) {
+    if (now > at_) sum_ *= std::exp((at_ - now) / span_);
+    at_ = std::max(at_, now);
+    return sum_;
+  }
+  double per_second(Millis now) { return read(now) * 1000 / span_; }
+
+ private:
+  Millis span_, at_ = 0;
+  double sum_ = 0;
+};
+
+struct Endpoint {
+  EndpointId id{};
+  HallId hall{};
+  Standing standing = Standing::listed;
+  Route* route = nullptr;
+  std::uint64_t rank = 0;
+  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, when last met
+  bool turns_away = false;                           // it met that one by refusals, which cost little
+  Millis rests_until = -never, answered_at = -never, room_met_at = -never, idle_since = never,
+         gone_at = never;
+};
+
+struct Call {
+  Route* route = nullptr;
+  Endpoint* endpoint = nullptr;
+  Millis sent = 0;
+  int docs = 0;
+  Millis idle = 0;  // how long the endpoint had had no call before this one
+  bool counted = false, overdue = false, called_off = false;
+};
+
+struct Destination {
+  std::vector<Endpoint*> ranked;
+  int docs = 0;                       // held for it
+  int harmless = 0;                   // of those that could go now, the ones that may run again
+  Millis lead = 0;                    // the usual time of a call there
+  bool shut[2] = {}, wanted = false;  // no endpoint takes a call, with the slots and with one more
+};
+
+struct Doc {
+  DocId id{};
+  const DocType* type = nullptr;
+  Destination* to = nullptr;
+  bool over_share = false, ordered = false;
+  KeyId key{};
+  std::uint64_t turn_taken = 0;
+  Millis agreed_by = 0, expiry = 0, not_before = 0;
+  int tries = 0, failures = 0, out = 0;
+  Millis risked_at = never;  // the send of the first transmission that may have run
+  HallId risked_hall{};
+  bool may_have_run() const { return risked_at < never; }
+};
+
+// Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
+struct KeyLane {
+  std::set<std::uint64_t> waiting;
+  int out = 0;
+  Millis rests_until = -never;
+  bool is_over(Millis now) const { return waiting.empty() && out == 0 && now >= rests_until; }
+};
+
+// A fixed order of endpoints, as if by chance.
+inline std::uint64_t mixed(std::uint64_t a, std::uint64_t b) {
+  std::uint64_t x = a * 0x9e3779b97f4a7c15ULL + b;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+}  // namespace rockcrank::state
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -156,7 +157,9 @@
   void turn_end() {
     if (!open_) return;
     open_ = false;
+    auto begun = std::clock();
     auto done = decision_->decide();
+    cpu_ms_ += 1e3 * double(std::clock() - begun) / CLOCKS_PER_SEC, ++turns_;
     for (const auto& text : done.log) logs_.push_back(text);
     for (const auto& r : done.rejected) final_answer(r.doc, true);
     for (DocId d : done.abandoned) final_answer(d, false);
@@ -255,6 +258,16 @@
     }
   }
 
+  static double cpu_unit() {  // what this machine takes for a thousand steps of a list
+    std::map<int, double> list;
+    for (int i = 0; i < 10000; ++i) list[i * 7919 % 10007] = i;
+    double sum = 0;
+    auto begun = std::clock();
+    for (int round = 0; round < 50; ++round)
+      for (auto& [key, value] : list) sum += value = std::exp2(-value / 10000);
+    return sum > 0 ? 1e3 * double(std::clock() - begun) / CLOCKS_PER_SEC / 500 : 1;
+  }
+
   void expect(const std::vector<std::string>& plain, const Words& words, const std::string& text) {
     const std::string& what = plain.at(0);
     Millis from = number(words, "from", 0), to = number(words, "to", 1e18);
@@ -271,7 +284,8 @@
             (!words.count("endpoint") || EndpointId(tag(words.at("endpoint"))) == s.endpoint))
           ++count, calls.emplace(s.at, s.endpoint);
       if (what == "calls") count = double(calls.size());
-    } else if (ended_.count(what)) ends(ended_[what]);
+    } else if (what == "cpu") count = cpu_ms_ / turns_ / cpu_unit();
+    else if (ended_.count(what)) ends(ended_[what]);
     else if (what == "log" || what == "nolog") {
       std::string wanted = text.substr(text.find("log ") + 4);
       for (const auto& line : logs_) count += line.find(wanted) != std::string::npos;
@@ -287,6 +301,7 @@
   std::unique_ptr<Decision> decision_;
   Millis now_ = 0, wake_ = 1e18, stalled_until_ = 0;
   bool open_ = false;
+  double cpu_ms_ = 0, turns_ = 0;
   std::map<EndpointId, Manner> manners_;
   std::map<EndpointId, Millis> told_off_;
   std::map<EndpointId, std::uint64_t> owner_;
