Let a call take its slot only once its connection is up

The platform counts a call once its last byte has arrived, so the module believed in calls that were not out. Lines at fault: transmit() took a slot at once, and nothing told the module that a connection was still coming up. Now the host does (connecting, may_begin instead of may_still_go); calls that are up wait for a slot, in their order, before any new one is sent; as many as there are slots may be connecting.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -144,7 +144,7 @@
       --call.route->calls_out;
       if (--call.endpoint->calls_out == 0) call.endpoint->idle_since = now_;
       used_.insert(call.endpoint->id);
-      --calls_out_, freed_ -= call.called_off;
+      pass(call, Stage::up), --calls_out_, freed_ -= call.called_off;
     }
     if (auto holder = docs_.find(got.doc); holder != docs_.end()) {
       Doc& doc = holder->second;
@@ -179,7 +179,21 @@
     Millis free = knows(id) ? free_at(destinations_[id]) : never, pause = varied(ladder_base);
     return std::min(set_.reject_wait_max, free < never ? std::max(pause, free - now_) : pause);
   }
-  bool may_still_go(EndpointId id) const override { return now_ >= endpoints_.at(id).route->told_until; }
+  void connecting(DocId doc, int transmission) override {
+    auto found = out_.find({doc, transmission});
+    if (found != out_.end()) pass(calls_[std::get<0>(found->second)], Stage::connecting);
+  }
+  // Rules 3 and 6 hold for the moment of sending too. Calls that are up wait for a slot before any new one.
+  MayBegin may_begin(DocId doc, int transmission) override {
+    auto found = out_.find({doc, transmission});
+    if (found == out_.end()) return MayBegin::never;
+    Call& call = calls_[std::get<0>(found->second)];
+    pass(call, Stage::up);
+    if (now_ < call.route->told_until || call.endpoint->standing != Standing::listed) return MayBegin::never;
+    if (begun_ >= set_.slots) return MayBegin::later;
+    pass(call, Stage::begun);
+    return MayBegin::now;
+  }
   Millis pause_after(int failures) override { return varied(ladder(failures)); }
 
   Decided decide() override {
@@ -254,6 +268,12 @@
   Millis margin() const { return 2 * set_.tick; }
   bool is_cold(const Route& route) const { return now_ < route.cold_since + set_.warm_within; }
 
+  void pass(Call& call, Stage to) {
+    begun_ += (to == Stage::begun) - (call.stage == Stage::begun);
+    connecting_ += (to == Stage::connecting) - (call.stage == Stage::connecting);
+    call.stage = to;
+  }
+
   // Health, latency and pace of a route, from one call's end.
   void count(Call& call, const Outcome& got) {
     Route& route = *call.route;
@@ -494,6 +514,9 @@
     return e.room_met_at + (e.turns_away ? more * ladder_base : more > 0 ? 5000 : 0);
   }
 
+  // A call takes its slot once its connection is up; as many again may be connecting.
+  int slots_taken() const { return std::max(calls_out_ - connecting_, calls_out_ - set_.slots); }
+
   bool joins(const Endpoint& endpoint) {
     auto bundle = bundles_.find(endpoint.id);
     return bundle != bundles_.end() && calls_[bundle->second].docs < endpoint.route->bundle_max &&
@@ -509,7 +532,7 @@
     bool shut = true;  // for other documents too
     for (Endpoint* e : doc.to->ranked) {
       if (e->standing != Standing::listed) continue;
-      bool free = calls_out_ < slots && now_ >= room_at(*e) && now_ >= free_at(*e->route);
+      bool free = slots_taken() < slots && now_ >= room_at(*e) && now_ >= free_at(*e->route);
       if (!free && !joins(*e)) continue;
       shut = false;
       if (!may_run_at(doc, *e)) continue;
@@ -591,7 +614,7 @@
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
       if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
       calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
-      ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
+      ++begun_, ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     }
@@ -607,7 +630,7 @@
   // Slots taken by calls far overdue at hung destinations starve the healthy ones. While a document waits for
   // a slot only, the call furthest overdue is called off; a binding document is lost with it.
   bool wants_slot(Doc& doc) {
-    if (!overdue_ || calls_out_ < set_.slots || freed_ >= set_.slots) return false;
+    if (!overdue_ || slots_taken() < set_.slots || freed_ >= set_.slots) return false;
     return std::get<0>(urgency(doc)) < 2 && could_go(doc, set_.slots + 1);
   }
   // Calls that run out with hardly a late answer among them hang; where late answers come too, all is only
@@ -670,8 +693,8 @@
   Millis follow_at_ = set_.list_on_request ? 0 : never;
   Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
-  int calls_out_ = 0, freed_ = 0;  // freed: called off, outcome awaited
-  Call* overdue_ = nullptr;        // the furthest, if any
+  int calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off, outcome awaited
+  Call* overdue_ = nullptr;                                     // the furthest, if any
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -141,6 +141,8 @@
   Millis wake_in = -1;  // negative: only when something happens
 };
 
+enum class MayBegin { now, later, never };
+
 class Decision {
  public:
   static std::unique_ptr<Decision> make(const Settings& settings, std::uint64_t seed);
@@ -155,11 +157,14 @@
   virtual void leave(Millis within) = 0;  // the relay ends then; what it holds by then waits for its restart
   virtual Decided decide() = 0;
 
-  virtual bool has_room() const = 0;                         // for one more document
-  virtual bool knows(DestinationId destination) const = 0;   // one with endpoints, or that had some lately
-  virtual Millis come_back(DestinationId destination) = 0;   // for a document turned away; 0: not to be told
-  virtual bool may_still_go(EndpointId endpoint) const = 0;  // a call decided on but not yet begun
-  virtual Millis pause_after(int failures) = 0;              // before what the host itself tries again
+  virtual bool has_room() const = 0;                        // for one more document
+  virtual bool knows(DestinationId destination) const = 0;  // one with endpoints, or that had some lately
+  virtual Millis come_back(DestinationId destination) = 0;  // for a document turned away; 0: not to be told
+  // Of a call that needs a new connection: while that comes up, no slot is taken. Once it is up, whether the
+  // call may begin; asked again in each turn where later.
+  virtual void connecting(DocId doc, int transmission) = 0;
+  virtual MayBegin may_begin(DocId doc, int transmission) = 0;
+  virtual Millis pause_after(int failures) = 0;  // before what the host itself tries again
 };
 
 }  // namespace rockcrank
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -46,6 +46,8 @@
          gone_at = never;
 };
 
+enum class Stage { connecting, up, begun };
+
 struct Call {
   Route* route = nullptr;
   Endpoint* endpoint = nullptr;
@@ -53,6 +55,7 @@
   int docs = 0;
   Millis idle = 0;  // how long the endpoint had had no call before this one
   bool counted = false, overdue = false, called_off = false;
+  Stage stage = Stage::begun;
 };
 
 struct Destination {
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t list_most = 4 << 20;
 constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
-constexpr Millis answer_within = 1000;  // the agent is on this machine and answers at once
+constexpr Millis answer_within = 1000;        // the agent is on this machine and answers at once
 
 }  // namespace
 
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -89,7 +89,7 @@
     ++owner_.connections_;
     stream_.on_up = [this] {
       connect_timer_.clear();
-      write();
+      go_on();
     };
     stream_.on_data = [this] { read(false); };
     stream_.on_end = [this] { read(true); };
@@ -115,6 +115,17 @@
     if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
       connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
     if (stream_.state() == Stream::State::up) write();
+    else owner_.on_connecting(items_[0].doc, items_[0].transmission);
+  }
+  // A connection takes time to come up. Meanwhile a wait may have been told, which binds this call too, or
+  // the slots been taken, which is no fault of the endpoint's.
+  void go_on() {
+    if (request_.empty()) return;
+    auto may = owner_.may_begin(items_[0].doc, items_[0].transmission);
+    held_ = may == MayBegin::later;
+    if (held_) owner_.ready_.emplace_back(items_[0].doc, items_[0].transmission);
+    else if (may == MayBegin::now) write();
+    else stop(Ending::not_sent);
   }
   // No socket was to be had, or the connection was turned down on the spot.
   bool stillborn() const { return stream_.state() == Stream::State::ended; }
@@ -122,7 +133,7 @@
   void stop(Ending ending) {
     bool never = unwritten();
     if (never && (ending == Ending::broken || ending == Ending::timed_out)) ending = Ending::not_connected;
-    if (never && ending == Ending::called_off) ending = Ending::not_sent;
+    if (never && (held_ || ending == Ending::called_off)) ending = Ending::not_sent;
     end_all({ending, false}, 0, {});
     owner_.drop(*this);
   }
@@ -151,12 +162,7 @@
   // Whether the endpoint cannot have the whole call: until its last byte is written, it never ran.
   bool unwritten() const { return !request_.empty() || stream_.unsent() > 0; }
 
-  void write() {
-    if (request_.empty()) return;
-    // A connection takes time to come up; meanwhile a wait may have been told, which binds this call too.
-    if (!owner_.may_still_go(endpoint_)) return stop(Ending::not_sent);
-    stream_.send(std::exchange(request_, {}));
-  }
+  void write() { stream_.send(std::exchange(request_, {})); }
 
   void watch_time() {
     Millis next = 1e18;
@@ -251,6 +257,7 @@
   std::vector<Item> items_;
   std::string request_;
   bool several_ = false;
+  bool held_ = false;      // up, but told to begin later
   bool hung_up_ = false;   // the answer ends its connection
   bool trailing_ = false;  // the outcome is told, the rest of the answer still awaited
   Millis sent_at_ = 0, idle_since_ = 0, kept_ = 0;
@@ -308,6 +315,11 @@
   if (found != under_way_.end()) found->second->take_out(doc, transmission, Ending::called_off);
 }
 
+void Endpoints::go_on() {
+  for (const auto& call : std::exchange(ready_, {}))
+    if (auto found = under_way_.find(call); found != under_way_.end()) found->second->go_on();
+}
+
 void Endpoints::close_idle(EndpointId endpoint, Millis idle_least) {
   auto found = places_.find(endpoint);
   if (found == places_.end()) return;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -38,12 +38,14 @@
   static std::size_t bundled_bytes(std::string_view id, std::string_view mark, std::string_view body);
 
   std::function<void(const Outcome&)> on_outcome;
-  std::function<bool(EndpointId)> may_still_go;
+  std::function<void(DocId, int)> on_connecting;
+  std::function<MayBegin(DocId, int)> may_begin;
   Millis idle_most = 0;  // set before each turn's calls: a connection idle for longer is not used again
 
   void locate(EndpointId endpoint, const Address& address);
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
   void call_off(DocId doc, int transmission);
+  void go_on();  // with calls that were told to begin later
   void close_idle(EndpointId endpoint, Millis idle_least = 0);
   void forget(EndpointId endpoint);  // no call of it is out
   bool none_out() const { return busy_.empty(); }
@@ -64,6 +66,7 @@
   std::map<EndpointId, Place> places_;
   std::map<const Line*, std::unique_ptr<Line>> busy_;
   std::map<std::pair<DocId, int>, Line*> under_way_;
+  std::vector<std::pair<DocId, int>> ready_;  // up, and told to begin later
   std::size_t connections_ = 0;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -39,9 +39,12 @@
           loop_, [this] { leave(); }, [this] { read_again(); }) {
   clients_.on_document = [this](const Handed& handed, AnswerTo to) { hand_in(handed, to); };
   endpoints_.on_outcome = [this](const Outcome& outcome) { ended(outcome); };
-  endpoints_.may_still_go = [this](EndpointId endpoint) {
+  endpoints_.on_connecting = [this](DocId doc, int transmission) {
+    decision_->connecting(doc, transmission);
+  };
+  endpoints_.may_begin = [this](DocId doc, int transmission) {
     begin();
-    return decision_->may_still_go(endpoint);
+    return decision_->may_begin(doc, transmission);
   };
   watch_.version = [this] { return list_version_; };
   watch_.on_failure = [this] {
@@ -204,6 +207,7 @@
 
 void Relay::settle() {
   begin();
+  endpoints_.go_on();
   auto decided = decision_->decide();
   turn_open_ = false;
   settled_at_ = loop_.now();
