Count a cold return from the trial that was answered, not from what followed

The return was counted anew with each of the calls that follow a trial, up to 2.3 s after the destination had answered. Line at fault: succeeded() set cold_since in the following mode too. Ruled out: room and store (no document turned away), slots (10 to 30 out), refusals (6 in 2 s), the list.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -373,7 +373,8 @@
     bool shut = now_ - route.failing_since > longest_span && route.refused_in_row >= failures_to_open;
     bool outage = shut || failing > (route.mode == Mode::closed ? 0.5 : 0.1);
     route.refused_in_row = route.failures_in_row = 0;
-    if (route.failing_since < never && outage) {
+    // The trial that was answered found it back; the calls that follow must not start its return anew.
+    if (route.failing_since < never && outage && route.mode != Mode::following) {
       if (!is_cold(route)) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_;
     }
