Give back at once what is told to wait past its expiry, with the time to come back

The decision record has it that a document which cannot go before its expiry ends at once. Seen in a scenario: of documents whose destination had told a longer wait than they had left, only the one refused ended at once; those never sent were held until their expiry and their clients told nothing. Lines at fault: is_spent() looked at the document's own wait only, end() named no time to come back where that lies past the expiry. Ruled out: crowds_out() and out_of_time(), which end for other reasons.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -172,8 +172,7 @@
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
   bool knows(DestinationId id) const override {
-    auto found = destinations_.find(id);
-    return found != destinations_.end() && !found->second.ranked.empty();
+    return destinations_.count(id) && !destinations_.at(id).ranked.empty();
   }
   // At the door: after the ladder's first step, or when the destination may take a call, if that is later.
   Millis come_back(DestinationId id) override {
@@ -199,8 +198,13 @@
 
   Decided decide() override {
     done_.idle_most = idle_breaks_.read(now_) > 1.2 ? idle_limit_ : never;
-    for (auto& [id, to] : destinations_)
-      to.harmless = 0, to.lead = to.ranked.empty() ? 0 : usual(*to.ranked.front()->route);
+    for (auto& [id, to] : destinations_) {
+      to.harmless = 0, to.told_until = never;
+      to.lead = to.ranked.empty() ? 0 : usual(*to.ranked.front()->route);
+      for (Endpoint* e : to.ranked)
+        if (e->standing == Standing::listed) to.told_until = std::min(to.told_until, e->route->told_until);
+      if (to.told_until >= never) to.told_until = -never;  // none is listed: the list may be late
+    }
     waiting_.clear();
     for (auto& [id, doc] : docs_) {
       doc.to->harmless += is_ready(doc) && doc.type->repeat != Repeat::binding;
@@ -523,8 +527,7 @@
   // Guards against calls that break the more often, the more documents they carry: one carries no more than
   // were lately answered there for each call that broke, so that about half of such calls get through.
   int bundle_most(Route& route) {
-    double broke = route.broke.read(now_);
-    double most = broke > 0.1 ? route.answered.read(now_) / broke : never;
+    double broke = route.broke.read(now_), most = broke > 0.1 ? route.answered.read(now_) / broke : never;
     return static_cast<int>(std::clamp(most, 1.0, 1.0 * route.bundle_max));
   }
   // What goes there in this turn travels in the call that has been opened; beyond its most it waits a turn.
@@ -595,12 +598,13 @@
   // Rule 1: a final answer before the client's time is up.
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
   bool is_spent(Doc& doc) {
-    bool late = doc.tries >= set_.max_transmissions || doc.not_before >= doc.expiry - margin();
+    // Told to wait past its expiry, a document cannot go any more, whoever of its destination was told.
+    bool late = doc.tries >= set_.max_transmissions ||
+                std::max(doc.not_before, doc.to->told_until) >= doc.expiry - margin();
     return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
   void end(Doc& doc) {
-    Millis free = free_at(*doc.to);  // with time left, the client is told it
-    Millis wait = free < doc.expiry ? std::min(free - now_, set_.reject_wait_max) : 0;
+    Millis wait = std::min(free_at(*doc.to) - now_, set_.reject_wait_max);  // the client is told it
     if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
     close(doc);
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -63,6 +63,7 @@
   int docs = 0;                       // held for it
   int harmless = 0;                   // of those that could go now, the ones that may run again
   Millis lead = 0;                    // the usual time of a call there
+  Millis told_until = -never;         // told to wait, wherever it might go
   bool shut[2] = {}, wanted = false;  // no endpoint takes a call, with the slots and with one more
 };
 
