Look up the call opened in this turn once where a document may join it

joins() asked travels() and then looked the same call up again, for each endpoint of each document that might go; opened() now finds it once for all three places.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -531,13 +531,14 @@
     return static_cast<int>(std::clamp(most, 1.0, 1.0 * route.bundle_max));
   }
   // What goes there in this turn travels in the call that has been opened; beyond its most it waits a turn.
-  bool travels(const Endpoint& endpoint) {
+  Call* opened(const Endpoint& endpoint) {
     auto bundle = bundles_.find(endpoint.id);
-    return bundle != bundles_.end() && calls_[bundle->second].docs < endpoint.route->bundle_max;
+    Call* call = bundle == bundles_.end() ? nullptr : &calls_[bundle->second];
+    return call && call->docs < endpoint.route->bundle_max ? call : nullptr;
   }
   bool joins(const Endpoint& endpoint) {
-    return travels(endpoint) && endpoint.route->mode == Mode::closed &&
-           calls_[bundles_[endpoint.id]].docs < bundle_most(*endpoint.route);
+    Call* call = opened(endpoint);
+    return call && endpoint.route->mode == Mode::closed && call->docs < bundle_most(*endpoint.route);
   }
 
   // First in rank until it has enough, then the next; failing ones rest while another can take the document.
@@ -549,7 +550,7 @@
     bool shut = true;  // for other documents too
     for (Endpoint* e : doc.to->ranked) {
       if (e->standing != Standing::listed) continue;
-      bool free = slots_taken() < slots && !travels(*e) && now_ >= room_at(*e) && now_ >= free_at(*e->route);
+      bool free = slots_taken() < slots && !opened(*e) && now_ >= room_at(*e) && now_ >= free_at(*e->route);
       if (!free && !joins(*e)) continue;
       shut = false;
       if (!may_run_at(doc, *e)) continue;
@@ -604,7 +605,7 @@
     return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
   void end(Doc& doc) {
-    Millis wait = std::min(free_at(*doc.to) - now_, set_.reject_wait_max);  // the client is told it
+    Millis wait = std::min(free_at(*doc.to) - now_, set_.reject_wait_max);  // told the client
     if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
     close(doc);
@@ -690,7 +691,7 @@
       if (!std::exchange(to.wanted, false)) continue;
       for (Endpoint* e : to.ranked)
         if (e->standing == Standing::listed)
-          wake_at(travels(*e) ? now_ + set_.tick : free_at(*e->route)), wake_at(room_at(*e));
+          wake_at(opened(*e) ? now_ + set_.tick : free_at(*e->route)), wake_at(room_at(*e));
     }
     return due;
   }
