--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -367,7 +367,8 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // no relay outlives the tests
       setenv("BALANCER_CONFIG", path.c_str(), 1), setenv("BALANCER_STATE", state.c_str(), 1);
       int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-      dup2(log, 1), dup2(log, 2), ::close(log);
+      dup2(log, 1), dup2(log, 2);
+      close_range(3, ~0u, 0);  // whatever this runner was started with: descriptors are counted
       rlimit limit{files, files}, size{largest, largest};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
       if (largest > 0) setrlimit(RLIMIT_FSIZE, &size);
