--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -234,7 +234,7 @@
       Endpoint& e = endpoints_[id];
       bool rare = unconnected_.read(now_) > 0.3 && e.route->calls.per_second(now_) * usual(*e.route) < 100;
       if (e.calls_out == 0 && (rare || e.standing != Standing::listed)) done_.closed.push_back({id});
-      else if (now_ < e.room_met_at + 30000) done_.closed.push_back({id, trial_pause});
+      else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
     if (now_ >= follow_at_) done_.follow_list = trial_pause, follow_at_ = never;  // a lost watch shows soon
@@ -309,6 +309,7 @@
                    call.sent - endpoint.answered_at < 2000)) {
       endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_;
       endpoint.turns_away = at_cap || full;
+      if (!full) endpoint.cap_met_at = now_;
       return;
     }
     if (got.ending == Ending::refused) {
@@ -409,7 +410,7 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
-      if (now_ < e.room_met_at + 30000) used_.insert(id);
+      if (now_ < e.cap_met_at + 30000) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
       for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -175,6 +175,7 @@
         }
     for (auto [e, idle_least] : done.closed)
       if (idle_least == 0) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
+      else ended_["thinned"][DocId(std::uint64_t(e))] = now_;
     for (EndpointId e : done.forgotten) ended_["forgotten"][DocId(std::uint64_t(e))] = now_;
     struck_.clear();
     for (const auto& t : done.transmitted)
@@ -325,7 +326,8 @@
   std::multimap<Millis, Outcome> pending_;
   std::vector<Sent> sent_;
   std::map<std::string, std::map<DocId, Millis>> ended_{
-      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}, {"forgotten", {}}};
+      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}, {"thinned", {}},
+      {"forgotten", {}}};
   std::vector<std::string> logs_;
 };
 
