Take a refusal whose hints show room for a full queue too

Line at fault: count() took only one that has no limit at all for a full queue. Test: full_queue.scene, its second destination: 10 answered instead of 60 in 1.5 s without the change.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -252,7 +252,7 @@
   using Grade = std::tuple<int, double, std::uint64_t>;
 
   static constexpr Millis stall = 1000, longest_span = 2500;
-  static constexpr double share_slack = 1.3;
+  static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
 
@@ -302,9 +302,10 @@
     // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
     // One that answers a new connection's first call by a refusal and the connection's end has met its cap
     // too, maybe by those of other relays: no limit, outage or queue is told by that.
-    // One that refuses a call while it works at others, and says that it has no limit, has its queue full: a
-    // lower pace would leave it idle and its documents waiting once the queue is worked off.
-    bool full = got.ending == Ending::refused && got.wait <= 0 && got.hints.told && got.hints.limit <= 0;
+    // One that refuses a call while it works at others, and tells of no limit or of room below it, has its queue
+    // full: a lower pace would leave it idle, and its documents waiting, once the queue is worked off.
+    bool full = got.ending == Ending::refused && got.wait <= 0 && got.hints.told &&
+                (got.hints.limit <= 0 || got.hints.left_share > room_left);
     if (at_cap || ((full || got.ending == Ending::not_connected) && endpoint.calls_out > 1 &&
                    call.sent - endpoint.answered_at < 2000)) {
       endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_;
@@ -474,7 +475,7 @@
     if (route.limit > 0) {
       // The relay's own part of the limit; more only while fresh hints say that the others leave room.
       bool fresh = now_ < route.hinted_at + 1500;
-      double spare = fresh ? std::clamp((route.left_share - 0.3) / 0.4, 0.0, 1.0) : 0;
+      double spare = fresh ? std::clamp((route.left_share - room_left) / 0.4, 0.0, 1.0) : 0;
       double held = fresh ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
       rate = route.limit * (part * held + (1 - part) * spare);
       if (held >= 1) rate = std::max(rate, std::min(1.0, 0.25 * route.limit));
