--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -302,8 +302,8 @@
     // At a connection cap some calls get in; a dead endpoint answers none. Only the latter fails for good.
     // One that answers a new connection's first call by a refusal and the connection's end has met its cap
     // too, maybe by those of other relays: no limit, outage or queue is told by that.
-    // One that refuses a call while it works at others, and tells of no limit or of room below it, has its queue
-    // full: a lower pace would leave it idle, and its documents waiting, once the queue is worked off.
+    // One that refuses a call while it works at others, and tells of no limit or of room below it, has its
+    // queue full: a lower pace would leave it idle, its documents waiting, once the queue is worked off.
     bool full = got.ending == Ending::refused && got.wait <= 0 && got.hints.told &&
                 (got.hints.limit <= 0 || got.hints.left_share > room_left);
     if (at_cap || ((full || got.ending == Ending::not_connected) && endpoint.calls_out > 1 &&
