--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -308,9 +308,10 @@
                 (got.hints.limit <= 0 || got.hints.left_share > room_left);
     if (at_cap || ((full || got.ending == Ending::not_connected) && endpoint.calls_out > 1 &&
                    call.sent - endpoint.answered_at < 2000)) {
-      endpoint.room = endpoint.calls_out - 1, endpoint.room_met_at = now_;
-      endpoint.turns_away = at_cap || full;
+      endpoint.room = endpoint.calls_out - 1, endpoint.turns_away = at_cap || full;
       if (!full) endpoint.cap_met_at = now_;
+      if (now_ > std::exchange(endpoint.room_met_at, now_) + longest_span)
+        log(route, full ? "queue full" : "connections full", endpoint.room, endpoint.calls_out);
       return;
     }
     if (got.ending == Ending::refused) {
@@ -638,10 +639,9 @@
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     }
-    auto number = bundles_[endpoint.id];
-    ++calls_[number].docs;
+    ++calls_[bundles_[endpoint.id]].docs;
     done_.transmitted.push_back({doc.id, endpoint.id, time_out(doc, route)});
-    out_[{doc.id, doc.tries}] = {number, doc.key, doc.ordered};
+    out_[{doc.id, doc.tries}] = {bundles_[endpoint.id], doc.key, doc.ordered};
     if (doc.ordered) ++lanes_[doc.key].out;
     doc.to->harmless -= doc.type->repeat != Repeat::binding;
     ++doc.tries, ++doc.out;
