Ask once whether a document joins an opened call, and look that call up once

What held for a connection cap alone was still said of the endpoint's room, which a full queue shares since; the comments say so now.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -418,8 +418,7 @@
       --e.route->endpoints, done_.forgotten.push_back(id);
     }
     for (EndpointId id : done_.forgotten) endpoints_.erase(id), used_.erase(id);
-    std::erase_if(destinations_,
-                  [](auto& entry) { return entry.second.ranked.empty() && !entry.second.docs; });
+    std::erase_if(destinations_, [](auto& at) { return at.second.ranked.empty() && !at.second.docs; });
     std::erase_if(routes_, [&](auto& entry) {
       return entry.second.endpoints == 0 && now_ >= entry.second.told_until && !is_cold(entry.second);
     });
@@ -518,7 +517,7 @@
     return free;
   }
 
-  // At a connection cap: calls stay under the number met for a while, or one more is tried after each pause.
+  // Connections or queue full: calls stay under the number met for a while, or one more goes each pause.
   Millis room_at(const Endpoint& e) const {
     int more = std::max(0, e.calls_out + 1 - e.room);
     return e.room_met_at + (e.turns_away ? more * ladder_base : more > 0 ? 5000 : 0);
@@ -629,19 +628,20 @@
   void transmit(Doc& doc) {
     Endpoint& endpoint = *choose(doc, set_.slots);
     Route& route = *endpoint.route;
-    if (joins(endpoint) && is_cold(route)) route.credit -= 0.12;
-    if (!joins(endpoint)) {
-      bundles_[endpoint.id] = ++call_number_;
+    bool joined = joins(endpoint);
+    auto& number = bundles_[endpoint.id];
+    if (joined) route.credit -= is_cold(route) ? 0.12 : 0;
+    else {
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
       if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
-      calls_[call_number_] = Call{&route, &endpoint, now_, 0, idle};
+      calls_[number = ++call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++begun_, ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     }
-    ++calls_[bundles_[endpoint.id]].docs;
+    ++calls_[number].docs;
     done_.transmitted.push_back({doc.id, endpoint.id, time_out(doc, route)});
-    out_[{doc.id, doc.tries}] = {bundles_[endpoint.id], doc.key, doc.ordered};
+    out_[{doc.id, doc.tries}] = {number, doc.key, doc.ordered};
     if (doc.ordered) ++lanes_[doc.key].out;
     doc.to->harmless -= doc.type->repeat != Repeat::binding;
     ++doc.tries, ++doc.out;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -40,8 +40,8 @@
   Standing standing = Standing::listed;
   Route* route = nullptr;
   std::uint64_t rank = 0;
-  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls at its connection cap, when last met
-  bool turns_away = false;                           // it met that one by refusals, which cost little
+  int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls when it was last full
+  bool turns_away = false;                           // full, told by refusals, which cost little
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, cap_met_at = -never,
          idle_since = never, gone_at = never;  // cap: of connections, idle ones counted
 };
