Answer at a second address, and take endpoints out and back for maintenance

"Out" is a standing of its own in the module, beside the list's: Endpoint::open() replaces each look at the list's standing, so that choice, calls whose connection just came up and waits all heed it. The store notes it before "done" is said. Back means cold: the route's cold return where the endpoint is its only open one, else a pace for the endpoint alone, from the same curve. Not taken: "draining" written into the list's standing (the next whole list would undo it); a thread for the second address (two owners of one loop's state); a cold return of the whole route where other endpoints of it serve (they would idle for an endpoint's sake).

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -62,6 +62,7 @@
   }
 
   void list(const std::vector<EndpointEntry>& entries, bool whole) override {
+    list_failures_ = 0;
     if (whole)
       for (auto& [id, endpoint] : endpoints_) endpoint.standing = Standing::gone, used_.insert(id);
     for (const auto& entry : entries) {
@@ -71,7 +72,7 @@
         const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
         auto whole = static_cast<std::uint64_t>(entry.destination);
         auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint) : whole;
-        endpoint.id = entry.endpoint, endpoint.hall = entry.hall;
+        endpoint.id = entry.endpoint, endpoint.hall = entry.hall, endpoint.out = outs_.count(entry.endpoint) > 0;
         Route& route = *(endpoint.route = &routes_[{kind.routes_apart, name}]);
         route.name = name, route.bundle_max = kind.bundle_max, ++route.endpoints;
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
@@ -88,7 +89,9 @@
       endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
-  void list_failed() override { follow_at_ = now_ + varied(ladder_base); }
+  // Guards against a herd: after a release all relays ask at once, and discovery that turns callers away does
+  // so for longer, the more often they come. The ladder, drawn from all of itself, spreads them.
+  void list_failed() override { follow_at_ = now_ + drawn(0, 2) * ladder(std::min(++list_failures_, 5)); }
 
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
@@ -165,6 +168,21 @@
     if (docs_.count(id)) close(docs_[id]);
   }
 
+  // Maintenance: a standing of its own beside the list's. Whatever is put back was restarted meanwhile and is
+  // cold from its first call on: the route where it is the only one open, else the endpoint alone.
+  void set_out(EndpointId id, bool out) override {
+    if (!(out ? outs_.insert(id).second : outs_.erase(id) > 0) || !endpoints_.count(id)) return;
+    Endpoint& e = endpoints_[id];
+    Route& route = *e.route;
+    used_.insert(id), e.out = out;
+    if (out && !is_cold(route)) route.rate_before = route.calls.per_second(now_);
+    if (out) return;
+    e.back_at = now_;
+    bool alone = std::ranges::none_of(endpoints_, [&](const auto& other) {
+      return other.second.route == &route && other.first != id && other.second.open();
+    });
+    if (alone) route.cold_since = route.credited_at = now_, route.credit = drawn(0, 1);
+  }
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
   bool knows(DestinationId id) const override {
@@ -185,7 +203,7 @@
     if (found == out_.end()) return MayBegin::never;
     Call& call = calls_[std::get<0>(found->second)];
     pass(call, Stage::up);
-    if (now_ < call.route->told_until || call.endpoint->standing != Standing::listed) return MayBegin::never;
+    if (now_ < call.route->told_until || !call.endpoint->open()) return MayBegin::never;
     if (begun_ >= set_.slots) return MayBegin::later;
     pass(call, Stage::begun);
     return MayBegin::now;
@@ -198,7 +216,7 @@
       to.harmless = 0, to.told_until = never;
       to.lead = to.ranked.empty() ? 0 : usual(*to.ranked.front()->route);
       for (Endpoint* e : to.ranked)
-        if (e->standing == Standing::listed) to.told_until = std::min(to.told_until, e->route->told_until);
+        if (e->open()) to.told_until = std::min(to.told_until, e->route->told_until);
       if (to.told_until >= never) to.told_until = -never;  // none is listed: the list may be late
     }
     waiting_.clear();
@@ -233,7 +251,7 @@
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
       bool rare = unconnected_.read(now_) > 0.3 && e.route->calls.per_second(now_) * usual(*e.route) < 100;
-      if (e.calls_out == 0 && (rare || e.standing != Standing::listed)) done_.closed.push_back({id});
+      if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
       else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
@@ -520,7 +538,8 @@
   // Connections or queue full: calls stay under the number met for a while, or one more goes each pause.
   Millis room_at(const Endpoint& e) const {
     int more = std::max(0, e.calls_out + 1 - e.room);
-    return e.room_met_at + (e.turns_away ? more * ladder_base : more > 0 ? 5000 : 0);
+    Millis room = e.room_met_at + (e.turns_away ? more * ladder_base : more > 0 ? 5000 : 0);
+    return std::max(room, now_ < e.back_at + set_.warm_within ? e.paced_until : -never);
   }
 
   // A call takes its slot once its connection is up; as many again may be connecting.
@@ -551,7 +570,7 @@
     };
     bool shut = true;  // for other documents too
     for (Endpoint* e : doc.to->ranked) {
-      if (e->standing != Standing::listed) continue;
+      if (!e->open()) continue;
       bool free = slots_taken() < slots && !opened(*e) && now_ >= room_at(*e) && now_ >= free_at(*e->route);
       if (!free && !joins(*e)) continue;
       shut = false;
@@ -636,6 +655,7 @@
       if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
       calls_[number = ++call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++begun_, ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
+      endpoint.paced_until = now_ + std::min(1000.0 * set_.relays, 1000 / cold_pace(route, now_ - endpoint.back_at));
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     }
@@ -691,7 +711,7 @@
     for (auto& [id, to] : destinations_) {
       if (!std::exchange(to.wanted, false)) continue;
       for (Endpoint* e : to.ranked)
-        if (e->standing == Standing::listed)
+        if (e->open())
           wake_at(opened(*e) ? now_ + set_.tick : free_at(*e->route)), wake_at(room_at(*e));
     }
     return due;
@@ -714,7 +734,7 @@
   Millis follow_at_ = set_.list_on_request ? 0 : never;
   Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
-  int calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off, outcome awaited
+  int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Call* overdue_ = nullptr;                                     // the furthest, if any
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
   std::map<std::pair<bool, std::uint64_t>, Route> routes_;
@@ -731,6 +751,7 @@
   Fading idle_breaks_{30000}, unconnected_{30000};
   Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
   std::set<EndpointId> used_;                    // calls there ended this turn
+  std::set<EndpointId> outs_;                    // taken out by staff, listed or not
   std::optional<std::uint64_t> idle_broken_;     // the route
 };
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -154,6 +154,8 @@
   virtual void take(const Document& document) = 0;
   virtual void outcome(const Outcome& outcome) = 0;
   virtual void withdraw(DocId doc) = 0;
+  // Taken out by staff until put back, whatever the list says meanwhile; one that is put back is cold.
+  virtual void set_out(EndpointId endpoint, bool out) = 0;
   virtual void leave(Millis within) = 0;  // the relay ends then; what it holds by then waits for its restart
   virtual Decided decide() = 0;
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -38,12 +38,15 @@
   EndpointId id{};
   HallId hall{};
   Standing standing = Standing::listed;
+  bool out = false;  // taken out by staff, whatever the list says
   Route* route = nullptr;
   std::uint64_t rank = 0;
   int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls when it was last full
   bool turns_away = false;                           // full, told by refusals, which cost little
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, cap_met_at = -never,
          idle_since = never, gone_at = never;  // cap: of connections, idle ones counted
+  Millis back_at = -never, paced_until = -never;  // put back by staff; the next call there not before
+  bool open() const { return standing == Standing::listed && !out; }
 };
 
 enum class Stage { connecting, up, begun };
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "relay/admin.h"
 #include "relay/log.h"
 #include "settings/settings.h"
 
@@ -65,6 +66,14 @@
   return value ? value : "";
 }
 
+Json read_file() {
+  auto path = environment("BALANCER_CONFIG");
+  if (path.empty()) throw std::runtime_error("BALANCER_CONFIG names no configuration file");
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot read the configuration file " + path);
+  return Json::parse(file);
+}
+
 }  // namespace
 
 ListAnswer Config::to_list(const Json& answer) const {
@@ -94,12 +103,15 @@
   return list;
 }
 
+Address admin_address() {
+  auto at = environment("BALANCER_ADMIN");
+  if (at.empty()) at = read_file().value("admin", "");
+  if (at.empty()) throw std::runtime_error("neither BALANCER_ADMIN nor 'admin' is told");
+  return address_of(at);
+}
+
 Config read_config() {
-  auto path = environment("BALANCER_CONFIG");
-  if (path.empty()) throw std::runtime_error("BALANCER_CONFIG names no configuration file");
-  std::ifstream file(path);
-  if (!file) throw std::runtime_error("cannot read the configuration file " + path);
-  Json json = Json::parse(file);
+  Json json = read_file();
   auto told = [&](const char* variable, const char* field) {
     auto value = environment(variable);
     if (value.empty()) value = json.value(field, "");
@@ -121,11 +133,14 @@
   rlimit files{};
   if (getrlimit(RLIMIT_NOFILE, &files) == 0)
     sockets = std::min(sockets, static_cast<std::size_t>(files.rlim_cur));
-  if (sockets < spare_descriptors + 4)
-    throw std::runtime_error("too few sockets: " + std::to_string(sockets));
-  config.client_connections = (sockets - spare_descriptors) / 2;
+  auto admin = environment("BALANCER_ADMIN");
+  if (admin.empty()) admin = json.value("admin", "");
+  if (!admin.empty()) config.admin = address_of(admin);
+  auto spare = spare_descriptors + (admin.empty() ? 0 : Admin::callers_most + 1);
+  if (sockets < spare + 4) throw std::runtime_error("too few sockets: " + std::to_string(sockets));
+  config.client_connections = (sockets - spare) / 2;
   config.clients_at_rest = sockets / 6;  // half of what the platform lets clients hold for requests
-  config.endpoint_connections = sockets - spare_descriptors - config.client_connections;
+  config.endpoint_connections = sockets - spare - config.client_connections;
   config.disk_bytes = static_cast<std::size_t>(limits.value("disk_mb", 1.0) * 1e6);
   Pairs pairs;
   flatten(json.at("settings"), "", pairs);
@@ -147,7 +162,7 @@
   config.idle_life = pairs.time("limits.keepaliveUs");
   if (auto known = json.find("known"); known != json.end() && known->is_object())
     config.known = config.to_list(*known);
-  for (const char* changing : {"discovery", "known", "seed"}) json.erase(changing);
+  for (const char* changing : {"discovery", "known", "seed", "admin"}) json.erase(changing);
   config.rest_sum = hash_of(json.dump());
   return config;
 }
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -28,7 +28,7 @@
 
 struct Config {
   std::string name;
-  Address listen, discovery;
+  Address listen, discovery, admin;  // admin: no port where nothing is to listen there
   std::string state_folder;
   std::uint64_t seed = 1;
   std::size_t client_connections = 0, clients_at_rest = 0, endpoint_connections = 0, disk_bytes = 0;
@@ -44,6 +44,7 @@
   ListAnswer to_list(const nlohmann::json& answer) const;  // throws on what it cannot read
 };
 
+Address admin_address();  // of the second address; throws where none is told
 Config read_config();  // from the environment and the file that it names; throws std::exception
 
 }  // namespace rockcrank
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -64,11 +64,17 @@
     store_.forget(doc);
     begin();
   };
+  if (config_.admin.port != 0) {
+    admin_ = std::make_unique<Admin>(loop_, config_.admin);
+    admin_->on_health = [this] { return std::string(leaving_ ? "it ends" : ""); };
+    admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
+  }
   notices_.pause_after = [this](int failures) { return decision_->pause_after(failures); };
 }
 
 void Relay::run() {
   begin();
+  for (const auto& endpoint : store_.outs()) decision_->set_out(EndpointId(hash_of(endpoint)), true);
   take_list(config_.known);
   recover();
   settle();
@@ -296,6 +302,17 @@
   for (const auto& bundle : calls) endpoints_.call(bundle.endpoint, bundle.parcels);
 }
 
+// Maintenance outlives this process: it is noted before the answer, and told to the module in the same round.
+std::string Relay::take_out(const std::string& name, bool out) {
+  EndpointId endpoint{hash_of(name)};
+  if (!known_.count(endpoint) && !store_.outs().count(name)) return "no such endpoint: " + rockcrank::quoted(name);
+  if (!store_.set_out(name, out)) return "it cannot be noted: the folder is full or cannot be written";
+  begin();
+  decision_->set_out(endpoint, out);
+  log_line("endpoint %.60s is %s by staff", name.c_str(), out ? "taken out" : "put back");
+  return {};
+}
+
 // SIGHUP: a new file counts whole or not at all. Nothing held or under way is touched; of what it tells,
 // the agent's address binds at once, the rest at the next start.
 void Relay::read_again() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "decision/decision.h"
+#include "relay/admin.h"
 #include "relay/clients.h"
 #include "relay/config.h"
 #include "relay/discovery.h"
@@ -43,6 +44,7 @@
   void answer_arrived(bool kept);
   void end(DocId doc, bool rejected, Millis wait);
   void send(const std::vector<Transmit>& transmitted);
+  std::string take_out(const std::string& endpoint, bool out);
   void read_again();
   void leave();
   void leave_further();
@@ -57,6 +59,7 @@
   Notices notices_;
   Timer turn_due_, leaving_due_;
   Signals signals_;
+  std::unique_ptr<Admin> admin_;
 
   std::map<EndpointId, EndpointEntry> known_;
   std::vector<Arrived> arrived_;
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -82,6 +82,12 @@
   std::string_view rest_;
 };
 
+std::string text_record(std::string_view text) {
+  std::string rest;
+  put_text(rest, text);
+  return rest;
+}
+
 std::uint32_t sum_of(std::string_view bytes) { return static_cast<std::uint32_t>(hash_of(bytes) >> 7); }
 
 std::string record_of(char kind, DocId doc, std::string_view rest) {
@@ -180,9 +186,23 @@
   apply(kind, doc, rest);
 }
 
+bool Store::set_out(const std::string& endpoint, bool out) {
+  auto rest = text_record(endpoint);
+  if ((outs_.count(endpoint) > 0) == out) return flush();
+  pending_ += record_of(out ? 'O' : 'B', DocId{}, rest);
+  apply(out ? 'O' : 'B', DocId{}, rest);
+  if (flush()) return true;
+  // Guards against a yes, or a no, that a restart would turn round: what could not be noted is undone. The
+  // file is behind now, and written anew, as things are, before anything else goes into it.
+  apply(out ? 'B' : 'O', DocId{}, rest);
+  behind_ = true;
+  return false;
+}
+
 bool Store::flush() {
   if (pending_.empty() && !behind_) return true;
   // Compaction writes the documents as they are now, with all that is pending.
+  if (behind_) pending_.clear();
   if (behind_ || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > bytes_most_) return compact();
   bool written = write_all(fd_, pending_);
   if (written) file_bytes_ += pending_.size();
@@ -205,6 +225,7 @@
   std::string bytes;
   for (const auto& [doc, document] : held_)
     if (document.noted) bytes += record_of('T', doc, whole(document));
+  for (const auto& endpoint : outs_) bytes += record_of('O', DocId{}, text_record(endpoint));
   if (!write_all(fd, bytes) || std::rename(fresh.c_str(), kept.c_str()) != 0) {
     log_line("store: cannot compact %zu bytes: %s", bytes.size(), std::strerror(errno));
     ::close(fd);
@@ -246,6 +267,11 @@
 // What a record makes of the documents held: the same as it is noted and as it is read again.
 void Store::apply(char kind, DocId doc, std::string_view rest) {
   Reader reader(rest);
+  if (kind == 'O' || kind == 'B') {
+    if (kind == 'O') outs_.insert(reader.text());
+    else outs_.erase(reader.text());
+    return;
+  }
   if (kind == 'T') {
     Held document;
     for (auto text : texts) document.*text = reader.text();
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -49,6 +50,9 @@
   void never_ran(DocId doc, int transmission);
   void ended(DocId doc, bool rejected, Millis wait);
   void forget(DocId doc);  // nothing more is owed
+  // Endpoints taken out by staff, by their names in the list. False: not noted, and nothing has changed.
+  bool set_out(const std::string& endpoint, bool out);
+  const std::set<std::string>& outs() const { return outs_; }
   bool flush();            // what was noted outlives the process from here on; false: it may not
 
  private:
@@ -63,6 +67,7 @@
   std::map<DocId, Held> held_;
   std::unordered_map<std::string_view, DocId> by_id_;  // slices of the held ids
   std::uint64_t last_ = 0;
+  std::set<std::string> outs_;
   std::string pending_;
   int fd_ = -1;
   bool behind_ = false;  // a write failed: the file must be written anew before it is added to
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -79,7 +79,7 @@
     set_.start_capacity = number(w, "start", 0.2), set_.warm_within = number(w, "warm", 10000);
     set_.order_rest = number(w, "rest", 0), set_.value_halves = number(w, "halves", 1) > 0;
     set_.limits_listed = number(w, "listed", 0) > 0, seed_ = std::uint64_t(number(w, "seed", 7));
-    set_.reject_wait_max = 3000, set_.may_call_off = true;
+    set_.reject_wait_max = 3000, set_.may_call_off = true, set_.list_on_request = w.count("asks") > 0;
   }
   void type(const Words& w) {
     DocType t;
@@ -117,12 +117,18 @@
                                                 of("every", 1), of("share", 1),   of("limit", -1),
                                                 of("idle"),     of("nth"),        of("queue", 1e9)};
     }
-    if (verb == "list" || verb == "drain" || verb == "gone") {
+    if (verb == "out" || verb == "back") {
+      EndpointId e{tag(plain.at(1))};
+      told_off_[e] = verb == "out" ? now_ + 2000 : 1e18;
+      decision_->set_out(e, verb == "out");
+    } else if (verb == "unlisted") {
+      decision_->list_failed();
+    } else if (verb == "list" || verb == "drain" || verb == "gone") {
       EndpointEntry e;
       e.endpoint = EndpointId(tag(plain.at(1))), e.destination = DestinationId(of("for", 1));
       e.kind = KindId(of("kind")), e.hall = HallId(of("hall")), e.listed_rate = of("rate");
       e.standing = verb == "list" ? Standing::listed : verb == "drain" ? Standing::draining : Standing::gone;
-      told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + 2000;
+      if (!words.count("yet_out")) told_off_[e.endpoint] = verb == "list" ? 1e18 : now_ + 2000;
       owner_[e.endpoint] = set_.kinds.at(std::size_t(e.kind)).routes_apart ? 1000 + tag(plain.at(1))
                                                                            : std::uint64_t(e.destination);
       decision_->list({e}, false);
@@ -177,6 +183,7 @@
       if (idle_least == 0) used_.erase(e), ended_["closed"][DocId(std::uint64_t(e))] = now_;
       else ended_["thinned"][DocId(std::uint64_t(e))] = now_;
     for (EndpointId e : done.forgotten) ended_["forgotten"][DocId(std::uint64_t(e))] = now_;
+    if (done.follow_list > 0) ended_["follows"][DocId(ended_["follows"].size())] = now_;
     struck_.clear();
     for (const auto& t : done.transmitted)
       if (int nth = int(manners_[t.endpoint].nth); nth > 0 && ++docs_[t.endpoint] % nth == 0)
@@ -327,7 +334,7 @@
   std::vector<Sent> sent_;
   std::map<std::string, std::map<DocId, Millis>> ended_{
       {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}, {"thinned", {}},
-      {"forgotten", {}}};
+      {"forgotten", {}}, {"follows", {}}};
   std::vector<std::string> logs_;
 };
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -64,6 +64,8 @@
     agent_ = listen_on(0);
     relay_port_ = port_of(probe_ = listen_on(0));
     ::close(probe_);
+    admin_port_ = port_of(probe_ = listen_on(0));
+    ::close(probe_);
     settings_ = Json::parse(R"({"balancers":1,"az":0,"tickUs":5000,"zones":["h0","h1"],"skus":["m0","m1"],
       "specifics":{"slots":8,"bundleMax":[1,5],"routesApart":[false,false],"decay":"halving"},
       "limits":{"maxAttempts":12,"dialTimeoutUs":1500000,"keepaliveUs":10000000,"openCap":200,"cancel":true,
@@ -318,10 +320,11 @@
     }
   }
 
-  int client(const std::string& name) {
+  int client(const std::string& name) { return connected(name, relay_port_); }
+  int connected(const std::string& name, int port) {
     if (auto found = clients_.find(name); found != clients_.end()) return found->second;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto to = loopback(relay_port_);
+    auto to = loopback(port);
     if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
       ::close(fd);
       return -1;
@@ -352,6 +355,7 @@
         {"limits", {{"sockets", number(words, "sockets", 200)}, {"disk_mb", number(words, "disk", 1)}}},
         {"known", list()},
         {"settings", settings_}};
+    if (words.count("admin")) config["admin"] = at(admin_port_);
     auto path = folder_ + "/config.json";
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     return path;
@@ -469,6 +473,21 @@
       say(plain.at(1), rest_of(2));
     } else if (verb == "open") {
       for (int i = 0; i < int(number(words, "times", 1)); ++i) client(plain.at(1) + std::to_string(i));
+    } else if (verb == "dial") {
+      EXPECT_GE(connected(plain.at(1), admin_port_), 0) << "nobody listens at the second address";
+    } else if (verb == "program") {
+      std::vector<const char*> arguments{PROGRAM};
+      for (std::size_t i = 1; i < plain.size(); ++i) arguments.push_back(plain[i].c_str());
+      arguments.push_back(nullptr);
+      auto pid = fork();
+      if (pid == 0) {
+        setenv("BALANCER_ADMIN", at(admin_port_).c_str(), 1);
+        execv(PROGRAM, const_cast<char* const*>(arguments.data()));
+        _exit(127);
+      }
+      int status = 0;
+      EXPECT_TRUE(pump(4000, [&] { return waitpid(pid, &status, WNOHANG) == pid; }));
+      EXPECT_EQ(WEXITSTATUS(status), int(number(words, "code", 0)));
     } else if (verb == "half") {
       shutdown(client(plain.at(1)), SHUT_WR);
     } else if (verb == "hand") {
@@ -570,7 +589,7 @@
   }
 
   std::string folder_;
-  int agent_ = -1, probe_ = -1, relay_port_ = 0, status_ = 0;
+  int agent_ = -1, probe_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
   pid_t pid_ = -1;
   Json settings_;
   std::int64_t revision_ = 1;
