Take in new settings by SIGHUP, whole or not at all

Excluded: lost answers of the agent (its log shows none), documents lost in the store.

The file is checked whole: keys that it held before, types with names, effects and positive times, attempts of at least one; one log line names the first fault. The module is told by one call, retune(), and lives on; its types are only ever added to, a held document points to the one it was taken on with. The store holds each document's type and allowance themselves, not their names, so that it recovers them when the type has gone. Kinds and halls are numbers in all that is held, so a change of those still waits for the next start. A 504 now ends a document's transmissions at once: "it has had all its attempts". Not taken: a new module made from the new settings (breakers, waits and cold returns would be lost); types by name in the store with the old settings file beside it (two owners of one truth).

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -49,8 +50,23 @@
  public:
   Decider(const Settings& settings, std::uint64_t seed)
       : set_(settings), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
-    for (const auto& type : set_.doc_types) longest_life_ = std::max(longest_life_, type.lifetime);
-    for (double rate : set_.tenant_rates) shares_.push_back({Fading(10000), rate / set_.relays});
+    types_.assign(set_.doc_types.begin(), set_.doc_types.end());
+    for (const auto& type : types_) longest_life_ = std::max(longest_life_, type.lifetime);
+    retune(settings);
+  }
+
+  // Documents point to the type they were taken on with, so types are only ever added.
+  DocTypeId number_of(const DocType& type) override {
+    auto found = std::ranges::find(types_, type);
+    if (found == types_.end()) found = types_.insert(types_.end(), type);
+    longest_life_ = std::max(longest_life_, type.lifetime);
+    return DocTypeId(found - types_.begin());
+  }
+
+  void retune(const Settings& settings) override {
+    set_ = settings;
+    shares_.resize(set_.tenant_rates.size(), {Fading(10000), 0});
+    for (std::size_t i = 0; i < shares_.size(); ++i) shares_[i].second = set_.tenant_rates[i] / set_.relays;
   }
 
   void begin(Millis now) override {
@@ -96,7 +112,8 @@
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
     doc.id = given.id, doc.to = &destinations_[given.destination], doc.expiry = now_ + given.left;
-    doc.type = &set_.doc_types[static_cast<std::size_t>(given.type)];
+    doc.type = &types_[static_cast<std::size_t>(given.type)];
+    doc.most = given.most > 0 ? given.most : set_.max_transmissions;
     // A document handed in with less left than its agreed time is in a hurry, not late.
     doc.agreed_by = given.left < doc.type->agreed_time && given.transmissions == 0
                         ? doc.expiry - margin()
@@ -149,6 +166,7 @@
     if (auto holder = docs_.find(got.doc); holder != docs_.end()) {
       Doc& doc = holder->second;
       --doc.out;
+      if (got.spent) doc.most = std::min(doc.most, doc.tries);
       if ((unknown || got.ending == Ending::error) && !doc.may_have_run())
         doc.risked_at = call.sent, doc.risked_hall = call.endpoint->hall;
       if (got.over) {
@@ -620,7 +638,7 @@
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
   bool is_spent(Doc& doc) {
     // Told to wait past its expiry, a document cannot go any more, whoever of its destination was told.
-    bool late = doc.tries >= set_.max_transmissions ||
+    bool late = doc.tries >= doc.most ||
                 std::max(doc.not_before, doc.to->told_until) >= doc.expiry - margin();
     return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
@@ -729,7 +747,8 @@
       {"wants a slot", &Decider::wants_slot, &Decider::call_off},
   };
 
-  const Settings set_;
+  Settings set_;
+  std::deque<DocType> types_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
   Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -32,6 +32,7 @@
   KeyGroup key_group = KeyGroup::everywhere;
   Millis key_window = 0;
   bool in_order = false;
+  bool operator==(const DocType&) const = default;
 };
 
 struct Kind {
@@ -55,7 +56,7 @@
   Millis warm_within = 0;
   Millis order_rest = 0;
   Millis reject_wait_max = 0;  // 0: clients are told no time to come back
-  std::vector<DocType> doc_types;
+  std::vector<DocType> doc_types;  // numbered from 0 in this order at the start
   std::vector<Kind> kinds;
   std::vector<double> tenant_rates;  // documents a second within a tenant's share, all relays together
 };
@@ -81,6 +82,7 @@
   Millis left = 0;
   // Of a document recovered after a restart: what its earlier transmissions leave open.
   int transmissions = 0;
+  int most = 0;               // transmissions allowed when it was taken on; 0: by the present settings
   bool may_have_run = false;  // one was out, or ended without proof that it never ran
   Millis risked_ago = 0;      // since the first such was sent
   HallId risked_hall{};
@@ -99,7 +101,8 @@
   int transmission = 0;
   Ending ending = Ending::answered;
   EndpointId endpoint{};
-  bool over = false;  // the document has its final answer
+  bool over = false;   // the document has its final answer
+  bool spent = false;  // it has had all its transmissions, whatever this relay has counted
   Millis wait = 0;
   Millis took = 0;
   Millis kept = -1;  // how long its connection had lain idle; 0: it was new; negative: the host cannot tell
@@ -151,6 +154,9 @@
   virtual void begin(Millis now) = 0;
   virtual void list(const std::vector<EndpointEntry>& entries, bool whole) = 0;
   virtual void list_failed() = 0;  // following the list failed or ended
+  // New settings bind from now on; documents held keep the type and the allowance they were taken on with.
+  virtual void retune(const Settings& settings) = 0;
+  virtual DocTypeId number_of(const DocType& type) = 0;  // alike for like types, for as long as this lives
   virtual void take(const Document& document) = 0;
   virtual void outcome(const Outcome& outcome) = 0;
   virtual void withdraw(DocId doc) = 0;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -78,7 +78,7 @@
   KeyId key{};
   std::uint64_t turn_taken = 0;
   Millis agreed_by = 0, expiry = 0, not_before = 0;
-  int tries = 0, failures = 0, out = 0;
+  int tries = 0, most = 0, failures = 0, out = 0;
   Millis risked_at = never;  // the send of the first transmission that may have run
   HallId risked_hall{};
   bool may_have_run() const { return risked_at < never; }
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -66,6 +66,64 @@
   return value ? value : "";
 }
 
+// The keys of nested objects, as paths. What a list holds may come and go.
+void add_keys(const Json& object, const std::string& path, std::set<std::string>& keys) {
+  for (const auto& [name, inner] : object.items()) {
+    keys.insert(path + name);
+    if (inner.is_object()) add_keys(inner, path + name + ".", keys);
+  }
+}
+
+// What a file must still hold when it is read again: its settings and what names the relay and its places.
+std::set<std::string> keys_of(const Json& json) {
+  std::set<std::string> keys;
+  add_keys(json.at("settings"), "settings.", keys);
+  for (const char* name : {"name", "listen", "discovery", "limits", "settings"})
+    if (json.contains(name)) keys.insert(name);
+  return keys;
+}
+
+// Guards against figures by which no document could ever be taken, or each would end at once.
+void check(const Json& json) {
+  auto positive = [](const Json& where, const char* field, const std::string& place) {
+    auto found = where.find(field);
+    if (found == where.end() || !found->is_number() || found->get<double>() <= 0)
+      throw std::runtime_error(place + "." + field + " is no positive number");
+  };
+  if (!json.contains("settings")) throw std::runtime_error("there are no settings");
+  const Json& settings = json.at("settings");
+  if (!settings.is_object()) throw std::runtime_error("settings is no object");
+  positive(settings.value("limits", Json::object()), "maxAttempts", "settings.limits");
+  auto types = settings.value("classes", Json::array());
+  if (!types.is_array() || types.empty()) throw std::runtime_error("settings.classes names no document type");
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < types.size(); ++i) {
+    auto place = "settings.classes." + std::to_string(i);
+    if (!types[i].is_object()) throw std::runtime_error(place + " is no object");
+    for (const char* field : {"deadlineUs", "goalTimeUs"}) positive(types[i], field, place);
+    for (const char* field : {"name", "repeat"})
+      if (!types[i].contains(field) || !types[i][field].is_string() || types[i][field] == "")
+        throw std::runtime_error(place + "." + field + " is missing");
+    if (!names.insert(types[i]["name"].get<std::string>()).second)
+      throw std::runtime_error(place + ".name stands twice");
+  }
+}
+
+// Kinds and halls are numbers in all that is held and listed, so a change of them waits for the next start;
+// tenants may come and go, and those known keep their numbers.
+void keep_numbers(const Config& before, Config& config) {
+  config.kinds = before.kinds, config.settings.kinds = before.settings.kinds;
+  config.halls = before.halls, config.settings.hall = before.settings.hall;
+  auto tenants = before.tenants;
+  auto rates = before.settings.tenant_rates;
+  for (const auto& [name, number] : config.tenants) {
+    auto at = static_cast<std::size_t>(tenants.try_emplace(name, TenantId(tenants.size())).first->second);
+    rates.resize(std::max(rates.size(), at + 1));
+    rates[at] = config.settings.tenant_rates.at(static_cast<std::size_t>(number));
+  }
+  config.tenants = std::move(tenants), config.settings.tenant_rates = std::move(rates);
+}
+
 Json read_file() {
   auto path = environment("BALANCER_CONFIG");
   if (path.empty()) throw std::runtime_error("BALANCER_CONFIG names no configuration file");
@@ -110,8 +168,9 @@
   return address_of(at);
 }
 
-Config read_config() {
+Config read_config(const Config* before) {
   Json json = read_file();
+  if (!json.is_object()) throw std::runtime_error("the configuration file holds no object");
   auto told = [&](const char* variable, const char* field) {
     auto value = environment(variable);
     if (value.empty()) value = json.value(field, "");
@@ -142,6 +201,10 @@
   config.clients_at_rest = sockets / 6;  // half of what the platform lets clients hold for requests
   config.endpoint_connections = sockets - spare - config.client_connections;
   config.disk_bytes = static_cast<std::size_t>(limits.value("disk_mb", 1.0) * 1e6);
+  check(json);
+  config.keys = keys_of(json);
+  for (const auto& key : before ? before->keys : std::set<std::string>{})
+    if (!config.keys.count(key)) throw std::runtime_error("the key " + key + " is missing");
   Pairs pairs;
   flatten(json.at("settings"), "", pairs);
   config.settings = decode_settings(pairs);
@@ -154,15 +217,20 @@
       found.push_back(pairs.text(list + "." + std::to_string(i) + ".name"));
     return found;
   };
-  config.doc_types = numbered_names<DocTypeId>(names("classes"));
+  auto types = names("classes");
+  for (std::size_t i = 0; i < types.size(); ++i)
+    config.doc_types[std::string(types[i])] = config.settings.doc_types.at(i);
   config.tenants = numbered_names<TenantId>(names("orgs"));
   config.kinds = numbered_names<KindId>(pairs.list("skus"));
   config.halls = numbered_names<HallId>(pairs.list("zones"));
+  if (before) keep_numbers(*before, config);
   config.connect_within = pairs.time("limits.dialTimeoutUs");
   config.idle_life = pairs.time("limits.keepaliveUs");
   if (auto known = json.find("known"); known != json.end() && known->is_object())
     config.known = config.to_list(*known);
   for (const char* changing : {"discovery", "known", "seed", "admin"}) json.erase(changing);
+  Json numbered{json["settings"].value("skus", Json{}), json["settings"].value("zones", Json{})};
+  json["settings"] = numbered;
   config.rest_sum = hash_of(json.dump());
   return config;
 }
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -33,18 +34,21 @@
   std::uint64_t seed = 1;
   std::size_t client_connections = 0, clients_at_rest = 0, endpoint_connections = 0, disk_bytes = 0;
   Settings settings;
-  std::unordered_map<std::string, DocTypeId> doc_types;
+  std::unordered_map<std::string, DocType> doc_types;
   std::unordered_map<std::string, TenantId> tenants;
   std::unordered_map<std::string, KindId> kinds;
   std::unordered_map<std::string, HallId> halls;
   Millis connect_within = 0, idle_life = 0;
   ListAnswer known;
+  std::set<std::string> keys;  // all that the file had to hold, as paths
   std::uint64_t rest_sum = 0;  // tells whether what only a start takes in has changed
 
   ListAnswer to_list(const nlohmann::json& answer) const;  // throws on what it cannot read
 };
 
 Address admin_address();  // of the second address; throws where none is told
-Config read_config();  // from the environment and the file that it names; throws std::exception
+// From the environment and the file that it names; throws std::exception. Read again, the file must hold all
+// that it held before, and what only a start takes in stays as it was.
+Config read_config(const Config* before = nullptr);
 
 }  // namespace rockcrank
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -41,7 +41,7 @@
 
 struct Verdict {
   Ending ending = Ending::error;
-  bool over = false;
+  bool over = false, spent = false;
 };
 
 // What an answer says of all documents of its call; what is not known may have run.
@@ -49,7 +49,7 @@
   switch (answer.status) {
     case 200: return {Ending::answered, true};
     case 410: return {Ending::not_sent, true};
-    case 504: return {Ending::not_sent, false};
+    case 504: return {Ending::not_sent, false, true};
     case 503: return {answer.header("X-Line-Busy") == "1" ? Ending::not_sent : Ending::refused, false};
     case 429:
     case 400:
@@ -62,7 +62,7 @@
   if (state == "ok") return {Ending::answered, true};
   if (state == "later") return {Ending::refused, false};
   if (state == "gone") return {Ending::not_sent, true};
-  if (state == "exhausted") return {Ending::not_sent, false};
+  if (state == "exhausted") return {Ending::not_sent, false, true};
   return {Ending::error, false};
 }
 
@@ -185,7 +185,7 @@
   void end_one(const Item& item, Verdict verdict, Millis wait, const Hints& hints) {
     Outcome outcome;
     outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
-    outcome.ending = verdict.ending, outcome.over = verdict.over;
+    outcome.ending = verdict.ending, outcome.over = verdict.over, outcome.spent = verdict.spent;
     outcome.took = owner_.loop_.now() - sent_at_;
     outcome.wait = wait, outcome.hints = hints, outcome.kept = kept_, outcome.hung_up = hung_up_;
     owner_.under_way_.erase({item.doc, item.transmission});
@@ -271,6 +271,10 @@
   return (body.size() + 2) / 3 * 4 + id.size() + mark.size() + 40;
 }
 
+void Endpoints::retune(Millis connect_within, Millis idle_life) {
+  limits_.connect_within = connect_within, limits_.idle_life = idle_life;
+}
+
 void Endpoints::locate(EndpointId endpoint, const Address& address) {
   Place& place = places_[endpoint];
   if (place.address.host != address.host || place.address.port != address.port) close_idle(endpoint);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -42,6 +42,7 @@
   std::function<MayBegin(DocId, int)> may_begin;
   Millis idle_most = 0;  // set before each turn's calls: a connection idle for longer is not used again
 
+  void retune(Millis connect_within, Millis idle_life);  // of connections opened, or idle, from now on
   void locate(EndpointId endpoint, const Address& address);
   void call(EndpointId endpoint, const std::vector<Parcel>& parcels);  // several: one call
   void call_off(DocId doc, int transmission);
@@ -62,7 +63,7 @@
   bool make_room();
 
   Loop& loop_;
-  const Limits limits_;
+  Limits limits_;
   std::map<EndpointId, Place> places_;
   std::map<const Line*, std::unique_ptr<Line>> busy_;
   std::map<std::pair<DocId, int>, Line*> under_way_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -95,7 +95,7 @@
 Document Relay::to_document(const Held& held, DocId doc, Millis wall) const {
   Document document;
   document.id = doc;
-  document.type = config_.doc_types.at(held.doc_type);
+  document.type = decision_->number_of(held.type), document.most = held.most;
   auto tenant = config_.tenants.find(held.tenant);
   document.tenant = tenant == config_.tenants.end() ? TenantId(UINT32_MAX) : tenant->second;  // of no share
   document.destination = held.destination;
@@ -113,13 +113,10 @@
 
 void Relay::recover() {
   auto wall = Loop::wall();
-  std::vector<DocId> foreign;
   for (auto& [doc, held] : store_.held()) {
     if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
-    else if (!config_.doc_types.count(held.doc_type)) foreign.push_back(doc);
     else decision_->take(to_document(held, doc, wall));
   }
-  for (DocId doc : foreign) end(doc, false, 0);  // its type is no longer among the settings
 }
 
 void Relay::take_list(const ListAnswer& list) {
@@ -181,6 +178,7 @@
   if (!decision_->has_room() || !store_.has_room(bytes)) return later();
   auto wall = Loop::wall();
   held.expiry = wall + left;
+  held.type = config_.doc_types.at(held.doc_type), held.most = config_.settings.max_transmissions;
   auto doc = store_.add(std::move(held));
   arrived_.push_back({doc, answer_to});
   decision_->take(to_document(store_.held().at(doc), doc, wall));
@@ -313,15 +311,24 @@
   return {};
 }
 
-// SIGHUP: a new file counts whole or not at all. Nothing held or under way is touched; of what it tells,
-// the agent's address binds at once, the rest at the next start.
+// SIGHUP: a new file counts whole or not at all. Documents held keep the type they were taken on with; breakers,
+// waits and cold returns live on. What is numbered in all that is held waits for the next start, and so do
+// addresses but the agent's, and limits of the process.
 void Relay::read_again() {
   try {
-    auto fresh = read_config();
-    watch_.move_to(fresh.discovery);
-    notices_.move_to(fresh.discovery);
-    log_line("read again: discovery at %s:%d%s", fresh.discovery.host.c_str(), fresh.discovery.port,
+    auto fresh = read_config(&config_);
+    bool moved = fresh.discovery.host != config_.discovery.host || fresh.discovery.port != config_.discovery.port;
+    if (moved) watch_.move_to(fresh.discovery), notices_.move_to(fresh.discovery);
+    log_line("read again: discovery at %s:%d, %zu document types, %d transmissions at most%s",
+             fresh.discovery.host.c_str(), fresh.discovery.port, fresh.doc_types.size(),
+             fresh.settings.max_transmissions,
              fresh.rest_sum == config_.rest_sum ? "" : "; what else is new waits for the next start");
+    config_.discovery = fresh.discovery, config_.rest_sum = fresh.rest_sum;
+    config_.settings = std::move(fresh.settings), config_.doc_types = std::move(fresh.doc_types);
+    config_.tenants = std::move(fresh.tenants), config_.keys = std::move(fresh.keys);
+    endpoints_.retune(fresh.connect_within, fresh.idle_life);
+    begin();
+    decision_->retune(config_.settings);
   } catch (const std::exception& error) {
     log_line("read again: the old configuration stays: %s", error.what());
   }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -49,7 +49,7 @@
   void leave();
   void leave_further();
 
-  const Config config_;
+  Config config_;
   Loop loop_;
   Store store_;
   const std::unique_ptr<Decision> decision_;
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -44,6 +44,12 @@
   put(to, static_cast<std::uint32_t>(sent.hall));
 }
 
+void put_type(std::string& to, const DocType& type) {
+  for (double number : {type.agreed_time, type.lifetime, type.late_value, type.key_window}) put(to, number);
+  put(to, static_cast<char>(type.repeat)), put(to, static_cast<char>(type.key_group));
+  put(to, static_cast<char>(type.in_order));
+}
+
 void put_end(std::string& to, bool rejected, Millis wait) {
   put(to, static_cast<char>(rejected));
   put(to, wait);
@@ -76,6 +82,14 @@
     auto at = number<double>();
     return {transmission, at, HallId(number<std::uint32_t>())};
   }
+  DocType type() {
+    DocType type;
+    for (double* number : {&type.agreed_time, &type.lifetime, &type.late_value, &type.key_window})
+      *number = this->number<double>();
+    type.repeat = Repeat(number<char>()), type.key_group = KeyGroup(number<char>());
+    type.in_order = number<char>() != 0;
+    return type;
+  }
   std::string_view rest() const { return rest_; }
 
  private:
@@ -140,6 +154,8 @@
   put(rest, static_cast<std::uint32_t>(document.unproven.size()));
   for (const auto& sent : document.unproven) put_sent(rest, sent);
   put(rest, static_cast<char>(document.ended));
+  put_type(rest, document.type);
+  put(rest, static_cast<std::int32_t>(document.most));
   put_end(rest, document.rejected, document.reject_wait);
   return rest;
 }
@@ -280,7 +296,8 @@
     document.transmissions = reader.number<std::int32_t>();
     for (auto count = reader.number<std::uint32_t>(); count > 0; --count)
       document.unproven.push_back(reader.sent());
-    document.ended = reader.number<char>() != 0, document.rejected = reader.number<char>() != 0;
+    document.ended = reader.number<char>() != 0, document.type = reader.type();
+    document.most = reader.number<std::int32_t>(), document.rejected = reader.number<char>() != 0;
     document.reject_wait = reader.number<double>();
     document.bytes = sizeof kind + sizeof doc + rest.size() + upkeep_bytes, document.noted = true;
     live_bytes_ += document.bytes;
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -23,6 +23,8 @@
   };
   std::string id, mark, body, order_key;
   std::string doc_type, tenant;  // by name: their numbers may change with the settings
+  DocType type;                  // as it was when the document was taken on, with the transmissions allowed
+  int most = 0;
   DestinationId destination{};
   Millis expiry = 0;  // Unix time
   int transmissions = 0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -121,6 +121,12 @@
       EndpointId e{tag(plain.at(1))};
       told_off_[e] = verb == "out" ? now_ + 2000 : 1e18;
       decision_->set_out(e, verb == "out");
+    } else if (verb == "retune") {
+      auto fresh = set_;
+      if (words.count("tries")) fresh.max_transmissions = int(of("tries"));
+      for (auto& type : fresh.doc_types)
+        if (words.count("repeat")) type.repeat = Repeat::binding;
+      decision_->retune(fresh);
     } else if (verb == "unlisted") {
       decision_->list_failed();
     } else if (verb == "list" || verb == "drain" || verb == "gone") {
