Ask whether a mark still holds when a call's connection has come up

The window was looked at when the call was chosen, not when it was written.

Change: may_begin() asks for all documents of the call whether their marks still hold; else it never goes.

This also guards against a stalled relay with slots all taken, whose calls begin later. It does harm to nothing that was allowed.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -222,6 +222,10 @@
     Call& call = calls_[std::get<0>(found->second)];
     pass(call, Stage::up);
     if (now_ < call.route->told_until || !call.endpoint->open()) return MayBegin::never;
+    // Guards against connections that come up late: by then the destination may have forgotten a mark.
+    for (const auto& [transmission, entry] : out_)
+      if (auto held = docs_.find(transmission.first); std::get<0>(entry) == std::get<0>(found->second))
+        if (held != docs_.end() && !marked(held->second, now_)) return MayBegin::never;
     if (begun_ >= set_.slots) return MayBegin::later;
     pass(call, Stage::begun);
     return MayBegin::now;
@@ -463,7 +467,9 @@
 
   // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
   bool may_go_again(const Doc& doc, Millis when) const {
-    if (doc.out > 0) return false;
+    return doc.out == 0 && marked(doc, when);
+  }
+  bool marked(const Doc& doc, Millis when) const {
     if (!doc.may_have_run() || doc.type->repeat == Repeat::replayable) return true;
     return doc.type->repeat == Repeat::numbered && when < doc.risked_at + doc.type->key_window - margin();
   }
