--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -15,6 +15,7 @@
 #include <tuple>
 #include <utility>
 
+#include "decision/carry.h"
 #include "decision/state.h"
 
 namespace rockcrank {
@@ -33,6 +34,12 @@
   Millis paced_at = -never, credited_at = 0;
   Fading calls{15000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{8000},
       timed{8000}, answered{8000}, broke{8000};  // answered: documents; the others: calls
+  auto fields() {
+    return std::tie(name, bundle_max, limit, left_share, hinted_at, told_until, mode, endpoints, failures_in_row,
+                    refused_in_row, follow_left, calls_out, opened_at, trial_at, failing_since, cold_since,
+                    rate_before, own_pace, patience, credit, paced_at, credited_at, calls, recent, good, bad, ended,
+                    slow, took, timed, answered, broke);
+  }
 };
 
 }  // namespace state
@@ -47,6 +54,14 @@
 constexpr int failures_to_open = 5, follow_calls = 3;
 
 class Decider final : public Decision {
+  // What is handed over as it is; settings, chance and what each turn finds anew is not.
+  auto parts() {
+    return std::tie(routes_, lanes_, out_, used_, outs_, idle_broken_, list_failures_, due_, forgot_at_,
+                    longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_, begun_, freed_, took_,
+                    timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_);
+  }
+  using RouteKey = std::pair<bool, std::uint64_t>;
+
  public:
   Decider(const Settings& settings, std::uint64_t seed)
       : set_(settings), chance_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
@@ -201,6 +216,47 @@
     });
     if (alone) route.cold_since = route.credited_at = now_, route.credit = drawn(0, 1);
   }
+  void hold(bool held) override { held_ = held; }
+
+  std::string hand_over() override {
+    Carried all;
+    all.put(parts());
+    std::map<const Route*, RouteKey> keys;
+    std::map<const Endpoint*, DestinationId> owners;
+    std::map<const Destination*, DestinationId> names;
+    for (const auto& [key, route] : routes_) keys[&route] = key;
+    for (const auto& [id, to] : destinations_) {
+      names[&to] = id;
+      for (const Endpoint* e : to.ranked) owners[e] = id;
+    }
+    for (auto& [id, e] : endpoints_) all.add("endpoints", std::pair(keys[e.route], owners[&e]), e);
+    for (auto& [number, call] : calls_) all.add("calls", std::pair(number, call.endpoint->id), call);
+    for (auto& [id, doc] : docs_) all.add("docs", std::pair(*doc.type, names[doc.to]), doc);
+    return all.text();
+  }
+  void take_over(const std::string& state) override {
+    Carried all(state);
+    all.get(parts());
+    all.each<std::pair<RouteKey, DestinationId>, Endpoint>("endpoints", [&](const auto& where, const Endpoint& e) {
+      Endpoint& here = endpoints_[e.id] = e;
+      here.route = &routes_.at(where.first);
+      auto& ranked = destinations_[where.second].ranked;
+      ranked.push_back(&here);
+      std::ranges::sort(ranked, {}, &Endpoint::rank);
+    });
+    all.each<std::pair<std::uint64_t, EndpointId>, Call>("calls", [&](const auto& where, const Call& call) {
+      Endpoint& endpoint = endpoints_.at(where.second);
+      calls_[where.first] = call;
+      calls_[where.first].endpoint = &endpoint, calls_[where.first].route = endpoint.route;
+    });
+    all.each<std::pair<DocType, DestinationId>, Doc>("docs", [&](const auto& where, const Doc& doc) {
+      Doc& here = docs_[doc.id] = doc;
+      here.type = &types_[static_cast<std::size_t>(number_of(where.first))];
+      here.to = &destinations_[where.second], ++here.to->docs;
+    });
+    follow_at_ = set_.list_on_request ? 0 : never;
+  }
+
   void leave(Millis within) override { leave_at_ = now_ + within; }
   bool has_room() const override { return set_.room == 0 || static_cast<int>(docs_.size()) < set_.room; }
   bool knows(DestinationId id) const override {
@@ -664,7 +720,7 @@
 
   bool is_ready(const Doc& doc) const { return doc.out == 0 && now_ >= doc.not_before; }
   bool could_go(Doc& doc, int slots) {
-    return is_ready(doc) && !doc.to->shut[slots > set_.slots] && in_turn(doc) &&
+    return !held_ && is_ready(doc) && !doc.to->shut[slots > set_.slots] && in_turn(doc) &&
            choose(doc, slots) != nullptr;
   }
   bool can_go(Doc& doc) { return could_go(doc, set_.slots); }
@@ -761,8 +817,9 @@
   std::uint64_t taken_ = 0, call_number_ = 0;
   int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off, outcome awaited
   Call* overdue_ = nullptr;                                     // the furthest, if any
+  bool held_ = false;  // another process may still send
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
-  std::map<std::pair<bool, std::uint64_t>, Route> routes_;
+  std::map<RouteKey, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, Destination> destinations_;
   std::map<DocId, Doc> docs_;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace rockcrank {
@@ -33,6 +34,9 @@
   Millis key_window = 0;
   bool in_order = false;
   bool operator==(const DocType&) const = default;
+  auto fields() {
+    return std::tie(agreed_time, lifetime, late_value, repeat, key_group, key_window, in_order);
+  }
 };
 
 struct Kind {
@@ -162,6 +166,12 @@
   virtual void withdraw(DocId doc) = 0;
   // Taken out by staff until put back, whatever the list says meanwhile; one that is put back is cold.
   virtual void set_out(EndpointId endpoint, bool out) = 0;
+  // While another process may still send for this relay, nothing goes; all else is as ever.
+  virtual void hold(bool held) = 0;
+  // All that this module knows, for the one in the process that takes this one's place, on the same clock. The
+  // other throws std::exception, and has changed nothing that counts, where it cannot read it.
+  virtual std::string hand_over() = 0;
+  virtual void take_over(const std::string& state) = 0;
   virtual void leave(Millis within) = 0;  // the relay ends then; what it holds by then waits for its restart
   virtual Decided decide() = 0;
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdint>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "decision/decision.h"
@@ -28,6 +29,7 @@
     return sum_;
   }
   double per_second(Millis now) { return read(now) * 1000 / span_; }
+  auto fields() { return std::tie(at_, sum_); }
 
  private:
   Millis span_, at_ = 0;
@@ -46,6 +48,10 @@
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, cap_met_at = -never,
          idle_since = never, gone_at = never;  // cap: of connections, idle ones counted
   Millis back_at = -never, paced_until = -never;  // put back by staff; the next call there not before
+  auto fields() {
+    return std::tie(id, hall, standing, out, rank, calls_out, failures_in_row, room, turns_away, rests_until,
+                    answered_at, room_met_at, cap_met_at, idle_since, gone_at, back_at, paced_until);
+  }
   bool open() const { return standing == Standing::listed && !out; }
 };
 
@@ -59,6 +65,7 @@
   Millis idle = 0;  // how long the endpoint had had no call before this one
   bool counted = false, overdue = false, called_off = false;
   Stage stage = Stage::begun;
+  auto fields() { return std::tie(sent, docs, idle, counted, overdue, called_off, stage); }
 };
 
 struct Destination {
@@ -82,6 +89,10 @@
   Millis risked_at = never;  // the send of the first transmission that may have run
   HallId risked_hall{};
   bool may_have_run() const { return risked_at < never; }
+  auto fields() {
+    return std::tie(id, over_share, ordered, key, turn_taken, agreed_by, expiry, not_before, tries, most, failures,
+                    out, risked_at, risked_hall);
+  }
 };
 
 // Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
@@ -89,6 +100,7 @@
   std::set<std::uint64_t> waiting;
   int out = 0;
   Millis rests_until = -never;
+  auto fields() { return std::tie(waiting, out, rests_until); }
   bool is_over(Millis now) const { return waiting.empty() && out == 0 && now >= rests_until; }
 };
 
--- a/src/relay/admin.cpp
+++ b/src/relay/admin.cpp
@@ -95,6 +95,7 @@
   if (!health && !out && words[0] != "ONLINE") return "error unknown command " + quoted(words[0]);
   if (health && words.size() > 1) return "error HEALTH takes no argument";
   if (!health && words.size() != 2) return "error " + words[0] + " takes one endpoint's id";
+  if (!on_health) return "error this process does not take clients yet";
   auto why = health ? on_health() : on_out(words[1], out);
   return why.empty() ? "done" : "error " + why;
 }
--- a/src/relay/admin.h
+++ b/src/relay/admin.h
@@ -20,7 +20,7 @@
   Admin(Loop& loop, const Address& at);
   ~Admin();
 
-  // Each answers with a reason why not; empty: done.
+  // Each answers with a reason why not; empty: done. Not set: this process does not serve yet.
   std::function<std::string()> on_health;
   std::function<std::string(const std::string& endpoint, bool out)> on_out;
 
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -36,6 +36,11 @@
       : owner_(owner), number_(number), stream_(owner.loop_, fd), due_(owner.loop_, [this] { late(); }) {
     used_at_ = owner_.loop_.now();
     due_.set(used_at_ + whole_within);
+    hear();
+  }
+
+ private:
+  void hear() {
     stream_.on_data = [this] { read(); };
     stream_.on_sent = [this] { go_on(); };
     stream_.on_end = [this] { owner_.ended(number_); };
@@ -46,6 +51,21 @@
     };
   }
 
+ public:
+  Client(Clients& owner, std::uint64_t number, const Kept& kept)
+      : owner_(owner), number_(number), stream_(owner.loop_, kept.stream), due_(owner.loop_, [this] { late(); }) {
+    hear();
+    first_ = kept.asked, finishing_ = kept.finishing, input_over_ = kept.input_over, used_at_ = kept.used_at;
+    due_.set(owner_.loop_.now() + (finishing_ ? linger : whole_within));
+    if (input_over_) stream_.read_on(false);
+  }
+  Kept keep() const { return {stream_.keep(), has_asked(), input_over_, finishing_, used_at_}; }
+  void shut() { stream_.close(), due_.clear(); }
+  void resume() {
+    if (finishing_) stream_.finish();
+    else read();
+  }
+
   bool is_idle() const {
     return answers_.empty() && stream_.unsent() == 0 && (finishing_ || stream_.received().empty());
   }
@@ -155,9 +175,38 @@
   Millis used_at_ = 0;
 };
 
-Clients::Clients(Loop& loop, const Address& at, const Limits& limits)
+Clients::Clients(Loop& loop, const Address& at, int passed_socket, const Limits& limits)
     : loop_(loop), limits_(limits), full_(loop, [this] { make_room(); }) {
-  listener_ = std::make_unique<Listener>(loop_, at, [this](int fd) { taken(fd); });
+  auto take_one = [this](int fd) { taken(fd); };
+  listener_ = passed_socket >= 0 ? std::make_unique<Listener>(loop_, passed_socket, take_one)
+                                 : std::make_unique<Listener>(loop_, at, take_one);
+}
+
+std::vector<Clients::Kept> Clients::keep() const {
+  std::vector<Kept> all;
+  for (const auto& [number, client] : clients_) all.push_back(client->keep());
+  return all;
+}
+
+void Clients::take(const std::vector<Kept>& kept) {
+  for (const auto& one : kept) {
+    auto number = ++last_;
+    clients_[number] = std::make_unique<Client>(*this, number, one);
+  }
+}
+
+void Clients::go_on() {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, client] : clients_) numbers.push_back(number);
+  for (auto number : numbers)
+    if (auto found = clients_.find(number); found != clients_.end()) found->second->resume();
+}
+
+void Clients::give_room() {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, client] : clients_)
+    if (client->has_asked() && client->may_make_way()) numbers.push_back(number);
+  for (auto number : numbers) clients_.at(number)->shut(), ended(number);
 }
 
 Clients::~Clients() = default;
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "decision/decision.h"
 #include "relay/loop.h"
@@ -28,13 +29,25 @@
   struct Limits {
     std::size_t connections_most = 0, at_rest_most = 0;
   };
-  Clients(Loop& loop, const Address& at, const Limits& limits);
+  // What goes to the process that takes this one's place: each connection between two answers.
+  struct Kept {
+    Stream::Kept stream;
+    bool asked = false, input_over = false, finishing = false;
+    Millis used_at = 0;
+  };
+  // On a listening socket that was passed, if there is one.
+  Clients(Loop& loop, const Address& at, int passed_socket, const Limits& limits);
   ~Clients();
 
   std::function<void(const Handed&, AnswerTo)> on_document;
 
   void answer(AnswerTo to, const std::string& text);
   void stop_listening();
+  std::vector<Kept> keep() const;  // once all that came is answered
+  void take(const std::vector<Kept>& kept);
+  void go_on();                // with what had come on them
+  std::size_t size() const { return clients_.size(); }
+  void give_room();            // closes all that may be closed between requests
   void close_after_answers();  // each connection, once nothing on it is unanswered
 
  private:
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -184,6 +184,8 @@
   // The file is what is replaced while the relay runs, so its own word on discovery comes first.
   auto discovery = json.value("discovery", "");
   config.discovery = address_of(discovery.empty() ? told("BALANCER_DISCOVERY", "discovery") : discovery);
+  if (auto passed = environment("BALANCER_PASSED_SOCKET"); !passed.empty())
+    config.passed_socket = static_cast<int>(to_integer(passed, "BALANCER_PASSED_SOCKET", 0, 1 << 20));
   config.state_folder = told("BALANCER_STATE", "state");
   auto seed = json.find("seed");
   if (seed != json.end()) config.seed = hash_of(plain(*seed));
@@ -231,6 +233,7 @@
   for (const char* changing : {"discovery", "known", "seed", "admin"}) json.erase(changing);
   Json numbered{json["settings"].value("skus", Json{}), json["settings"].value("zones", Json{})};
   json["settings"] = numbered;
+  config.numbering = before ? before->numbering : std::to_string(hash_of(numbered.dump()));
   config.rest_sum = hash_of(json.dump());
   return config;
 }
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -31,6 +31,7 @@
   std::string name;
   Address listen, discovery, admin;  // admin: no port where nothing is to listen there
   std::string state_folder;
+  int passed_socket = -1;  // clients', that the platform holds for all processes of this relay; -1: none
   std::uint64_t seed = 1;
   std::size_t client_connections = 0, clients_at_rest = 0, endpoint_connections = 0, disk_bytes = 0;
   Settings settings;
@@ -41,6 +42,7 @@
   Millis connect_within = 0, idle_life = 0;
   ListAnswer known;
   std::set<std::string> keys;  // all that the file had to hold, as paths
+  std::string numbering;       // alike where kinds and halls are numbered alike
   std::uint64_t rest_sum = 0;  // tells whether what only a start takes in has changed
 
   ListAnswer to_list(const nlohmann::json& answer) const;  // throws on what it cannot read
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -48,6 +48,7 @@
   std::function<void()> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
   void follow(Millis wait);               // so long for each answer, also where nothing changes
+  void has_whole() { whole_ = false; }    // the list held is this agent's, as of its version
   void move_to(const Address& agent);     // followed there at once, from the whole list on
 
  private:
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -39,6 +39,8 @@
   return head + body;
 }
 
+constexpr Millis rest_within = 500;  // of an answer whose first line has told all
+
 struct Verdict {
   Ending ending = Ending::error;
   bool over = false, spent = false;
@@ -72,28 +74,45 @@
 // given up with the last one.
 class Endpoints::Line {
  public:
-  struct Item {
-    DocId doc{};
-    int transmission = 0;
-    Millis until = 0;
-    std::string id;
-  };
-
   Line(Endpoints& owner, EndpointId endpoint, const Address& address)
       : owner_(owner),
         endpoint_(endpoint),
-        host_(address.host + ":" + std::to_string(address.port)),
+        address_(address),
         stream_(owner.loop_, address),
         timer_(owner.loop_, [this] { due(); }),
         connect_timer_(owner.loop_, [this] { stop(Ending::not_connected); }) {
-    ++owner_.connections_;
-    stream_.on_up = [this] {
-      connect_timer_.clear();
-      go_on();
-    };
-    stream_.on_data = [this] { read(false); };
-    stream_.on_end = [this] { read(true); };
+    hear();
   }
+  Line(Endpoints& owner, const Kept& from)
+      : owner_(owner),
+        endpoint_(from.endpoint),
+        address_(from.address),
+        stream_(owner.loop_, from.stream),
+        timer_(owner.loop_, [this] { due(); }),
+        connect_timer_(owner.loop_, [this] { stop(Ending::not_connected); }),
+        items_(from.items),
+        request_(from.request),
+        several_(from.several),
+        held_(from.held),
+        hung_up_(from.hung_up),
+        trailing_(from.trailing),
+        sent_at_(from.sent_at),
+        idle_since_(from.idle_since),
+        kept_(from.kept) {
+    hear();
+    if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
+      connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
+    if (!items_.empty()) watch_time();
+    else if (trailing_) timer_.set(owner_.loop_.now() + rest_within);
+    else watch_rest();
+  }
+  Kept keep() const {
+    return {endpoint_, address_, stream_.keep(), items_,   request_,    several_, held_,
+            hung_up_,  trailing_, sent_at_,      idle_since_, kept_};
+  }
+  bool busy() const { return !items_.empty() || trailing_; }
+  bool held() const { return held_ && !request_.empty(); }
+  const std::vector<Item>& items() const { return items_; }
   ~Line() { --owner_.connections_; }
 
   EndpointId endpoint() const { return endpoint_; }
@@ -110,7 +129,7 @@
       items_.push_back({parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out),
                         std::string(parcel.id)});
     several_ = parcels.size() > 1;
-    request_ = request_of(parcels, host_);
+    request_ = request_of(parcels, address_.host + ":" + std::to_string(address_.port));
     watch_time();
     if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
       connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
@@ -142,6 +161,9 @@
 
   void rested() {
     idle_since_ = owner_.loop_.now();
+    watch_rest();
+  }
+  void watch_rest() {
     // Closed before the endpoint does: its clock began a crossing earlier, and a request needs one more. The
     // call that has just ended took at least both.
     if (owner_.limits_.idle_life > 0)
@@ -159,6 +181,16 @@
   }
 
  private:
+  void hear() {
+    ++owner_.connections_;
+    stream_.on_up = [this] {
+      connect_timer_.clear();
+      go_on();
+    };
+    stream_.on_data = [this] { read(false); };
+    stream_.on_end = [this] { read(true); };
+  }
+
   // Whether the endpoint cannot have the whole call: until its last byte is written, it never ran.
   bool unwritten() const { return !request_.empty() || stream_.unsent() > 0; }
 
@@ -215,7 +247,8 @@
     // Any other answer that cannot be read whole tells nothing: its first line may be spoilt too.
     if (!whole && !true_already) return stop(Ending::broken);
     if (!std::exchange(trailing_, partial)) tell(answer);
-    if (partial) return;
+    // Guards against answers that stop short: the endpoint counts such a call as out until its connection ends.
+    if (partial) return timer_.set(owner_.loop_.now() + rest_within);
     if (!whole || answer.closes || ended || unwritten()) return owner_.drop(*this);
     stream_.consume(answer.size);
     if (!stream_.received().empty()) return owner_.drop(*this);
@@ -251,7 +284,7 @@
 
   Endpoints& owner_;
   const EndpointId endpoint_;
-  const std::string host_;
+  const Address address_;
   Stream stream_;
   Timer timer_, connect_timer_;
   std::vector<Item> items_;
@@ -301,6 +334,41 @@
   else if (fresh && used.stillborn()) used.stop(Ending::not_connected);
 }
 
+std::vector<Endpoints::Kept> Endpoints::keep() const {
+  std::vector<Kept> all;
+  for (const auto& [line, owned] : busy_) all.push_back(line->keep());
+  for (const auto& [endpoint, place] : places_)
+    for (const auto& line : place.idle) all.push_back(line->keep());
+  return all;
+}
+
+void Endpoints::take(const std::vector<Kept>& kept) {
+  for (const auto& from : kept) {
+    auto line = std::make_unique<Line>(*this, from);
+    Line& here = *line;
+    if (!here.busy()) {
+      places_[from.endpoint].idle.push_back(std::move(line));
+      continue;
+    }
+    busy_[&here] = std::move(line);
+    for (const auto& item : here.items()) under_way_[{item.doc, item.transmission}] = &here;
+    if (here.held()) ready_.emplace_back(here.items()[0].doc, here.items()[0].transmission);
+  }
+}
+
+std::vector<std::pair<EndpointId, Address>> Endpoints::addresses() const {
+  std::vector<std::pair<EndpointId, Address>> all;
+  for (const auto& [endpoint, place] : places_) all.emplace_back(endpoint, place.address);
+  return all;
+}
+
+void Endpoints::close_all_idle() {
+  for (auto& [endpoint, place] : places_) {
+    for (auto& line : place.idle) line->shut();
+    close_idle(endpoint);
+  }
+}
+
 // Guards against running out of descriptors: the connection idle for longest makes way.
 bool Endpoints::make_room() {
   if (connections_ < limits_.connections_most) return true;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "decision/decision.h"
@@ -34,6 +35,28 @@
   Endpoints(Loop& loop, const Limits& limits);
   ~Endpoints();
 
+  // What goes to the process that takes this one's place: a connection, with the call on it.
+  struct Item {
+    DocId doc{};
+    int transmission = 0;
+    Millis until = 0;
+    std::string id;
+  };
+  struct Kept {
+    EndpointId endpoint{};
+    Address address;
+    Stream::Kept stream;
+    std::vector<Item> items;
+    std::string request;  // not begun
+    bool several = false, held = false, hung_up = false, trailing = false;
+    Millis sent_at = 0, idle_since = 0, kept = 0;
+  };
+  std::vector<Kept> keep() const;
+  void take(const std::vector<Kept>& kept);
+  std::vector<std::pair<EndpointId, Address>> addresses() const;
+  std::size_t connections() const { return connections_; }
+  void close_all_idle();  // at once
+
   static constexpr std::size_t body_most = 65536;
   static std::size_t bundled_bytes(std::string_view id, std::string_view mark, std::string_view body);
 
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -99,12 +99,12 @@
     int count = poll(polled_.data(), polled_.size(), timeout);
     refresh();
     std::size_t known = polled_.size();
-    for (std::size_t i = 0; count > 0 && i < known; ++i) {
+    for (std::size_t i = 0; count > 0 && i < known && running_; ++i) {
       if (polled_[i].revents == 0 || !handlers_[i]) continue;
       handlers_[i]->ready(polled_[i].revents);
     }
     auto last = timer_number_;
-    while (!timers_.empty() && timers_.begin()->first.first <= now_ &&
+    while (running_ && !timers_.empty() && timers_.begin()->first.first <= now_ &&
            timers_.begin()->first.second <= last) {
       Timer* timer = timers_.begin()->second;
       timer->clear();
@@ -140,6 +140,16 @@
   loop_.add(fd_, POLLIN, this);
 }
 
+Stream::Stream(Loop& loop, Kept kept)
+    : loop_(loop),
+      fd_(kept.fd),
+      state_(kept.connecting ? State::connecting : State::up),
+      in_(std::move(kept.in)),
+      out_(std::move(kept.out)) {
+  loop_.add(fd_, POLLIN, this);
+  want();
+}
+
 Stream::Stream(Loop& loop, const Address& to) : loop_(loop) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ < 0) {
@@ -300,6 +310,18 @@
   loop_.add(fd_, POLLIN, this);
 }
 
+Listener::Listener(Loop& loop, int listening_fd, std::function<void(int)> taken)
+    : loop_(loop),
+      fd_(listening_fd),
+      taken_(std::move(taken)),
+      again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
+  int flags = fcntl(fd_, F_GETFL);
+  // Guards against a loop that waits in accept() for a connection that another process took first.
+  if (flags < 0 || fcntl(fd_, F_SETFL, flags | O_NONBLOCK) != 0)
+    throw std::runtime_error("the passed socket is of no use: " + std::string(std::strerror(errno)));
+  loop_.add(fd_, POLLIN, this);
+}
+
 Listener::~Listener() {
   loop_.remove(fd_);
   ::close(fd_);
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -82,7 +82,15 @@
  public:
   enum class State { connecting, up, ended };
 
+  // A connection that another process gave: what it had read and not used, and had not sent yet.
+  struct Kept {
+    int fd = -1;
+    bool connecting = false;
+    std::string in, out;
+  };
+
   Stream(Loop& loop, int connected_fd);
+  Stream(Loop& loop, Kept kept);
   Stream(Loop& loop, const Address& to);  // ended at once where no socket is to be had
   ~Stream() override;
   Stream(const Stream&) = delete;
@@ -96,6 +104,7 @@
   std::function<void()> on_input_end;
 
   State state() const { return state_; }
+  Kept keep() const { return {fd_, state_ == State::connecting, std::string(received()), out_}; }
   bool lacks_descriptor() const { return lacks_descriptor_; }
   std::string_view received() const { return std::string_view(in_).substr(consumed_); }
   bool quiet() const;  // up, and nothing has come that was not read yet: no bytes, no end
@@ -126,6 +135,7 @@
 class Listener : public Handler {
  public:
   Listener(Loop& loop, const Address& at, std::function<void(int)> taken);
+  Listener(Loop& loop, int listening_fd, std::function<void(int)> taken);  // one that others may have too
   ~Listener() override;
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -1,11 +1,15 @@
 // rockcrank: the relay's command line. It must never hold anything that the configuration file tells.
+#include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
+#include <memory>
 #include <string>
 
 #include "relay/admin.h"
 #include "relay/config.h"
+#include "relay/handover.h"
+#include "relay/log.h"
 #include "relay/relay.h"
 
 #ifndef ROCKCRANK_VERSION
@@ -42,6 +46,36 @@
   }
 }
 
+// With a passed socket and a process before this one, all is taken over from that; where it gives nothing in
+// time, this one serves by itself and waits with its calls for the other's end.
+void serve(const rockcrank::Config& config) {
+  constexpr rockcrank::Millis taken_within = 4000, pause = 50;  // the platform wants its yes within 6 s
+  std::signal(SIGHUP, SIG_IGN);
+  rockcrank::Loop loop;
+  std::unique_ptr<rockcrank::Admin> admin;
+  if (config.admin.port != 0) admin = std::make_unique<rockcrank::Admin>(loop, config.admin);
+  auto until = loop.now() + taken_within;
+  while (config.passed_socket >= 0 && loop.now() < until && rockcrank::Store::has_owner(config.state_folder)) {
+    rockcrank::Predecessor predecessor(config.state_folder);
+    if (auto baggage = predecessor.ask(config.numbering)) {
+      try {
+        rockcrank::Relay relay(config, loop, admin.get(), &*baggage);
+        baggage->shut();
+        if (predecessor.confirm()) return relay.run();
+      } catch (const std::exception& error) {
+        baggage->shut();
+        rockcrank::log_line("not taken over: %s", error.what());
+        break;  // it would not be readable the next time either
+      }
+    }
+    predecessor.drop();
+    rockcrank::Timer rested(loop, [&] { loop.stop(); });
+    rested.set(loop.now() + pause);
+    loop.run();
+  }
+  rockcrank::Relay(config, loop, admin.get(), nullptr).run();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -69,8 +103,7 @@
   try {
     auto config = rockcrank::read_config();
     if (command == "check") return std::printf("%s: good\n", config.name.c_str()), 0;
-    rockcrank::Relay relay(std::move(config));
-    relay.run();
+    serve(config);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "rockcrank: %s\n", error.what());
     return 1;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -18,6 +19,20 @@
 // SIGKILL comes no sooner than 3.7 s after it.
 constexpr Millis connections_come = 500;
 constexpr Millis gone_within = 3500;
+constexpr Millis look_again = 50;  // for the end of a process that keeps its file
+constexpr int baggage_form = 1;    // changed with every change of what pack() gives
+
+using Json = nlohmann::json;
+
+Store::Passed passed_store(const Json& state, Baggage& baggage) {
+  if (state.at("form") != baggage_form) throw std::runtime_error("what is handed over is of another form");
+  const Json& store = state.at("store");
+  Store::Passed passed;
+  passed.path = store.at(0).get<std::string>(), passed.image = store.at(1).get<std::string>();
+  passed.descriptor = baggage.take(store.at(2).get<std::size_t>()), passed.last = store.at(3).get<std::uint64_t>();
+  passed.file_bytes = store.at(4).get<std::size_t>(), passed.behind = store.at(5).get<bool>();
+  return passed;
+}
 
 std::string busy(Millis wait) {
   return wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) + "\r\n" : "-BUSY\r\n";
@@ -25,18 +40,27 @@
 
 }  // namespace
 
-Relay::Relay(Config config)
+Relay::Relay(Config config, Loop& loop, Admin* admin, Baggage* baggage)
+    : Relay(std::move(config), loop, admin,
+            baggage ? nlohmann::json::from_cbor(baggage->text) : nlohmann::json(), baggage) {}
+
+Relay::Relay(Config config, Loop& loop, Admin* admin, const nlohmann::json& state, Baggage* baggage)
     : config_(std::move(config)),
-      store_(config_.state_folder, config_.disk_bytes),
+      loop_(loop),
+      store_(baggage ? Store(config_.state_folder, config_.disk_bytes, passed_store(state, *baggage))
+                     : Store(config_.state_folder, config_.disk_bytes)),
       decision_(Decision::make(config_.settings, config_.seed)),
-      clients_(loop_, config_.listen, {config_.client_connections, config_.clients_at_rest}),
+      clients_(loop_, config_.listen, config_.passed_socket,
+               {config_.client_connections, config_.clients_at_rest}),
       endpoints_(loop_, {config_.connect_within, config_.idle_life, config_.endpoint_connections}),
       watch_(loop_, config_.discovery),
       notices_(loop_, config_.discovery),
       turn_due_(loop_, [this] { settle(); }),
       leaving_due_(loop_, [this] { leave_further(); }),
       signals_(
-          loop_, [this] { leave(); }, [this] { read_again(); }) {
+          loop_, [this] { leave(); }, [this] { read_again(); }),
+      admin_(admin),
+      adopt_due_(loop_, [this] { adopt(); }) {
   clients_.on_document = [this](const Handed& handed, AnswerTo to) { hand_in(handed, to); };
   endpoints_.on_outcome = [this](const Outcome& outcome) { ended(outcome); };
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
@@ -64,22 +88,44 @@
     store_.forget(doc);
     begin();
   };
-  if (config_.admin.port != 0) {
-    admin_ = std::make_unique<Admin>(loop_, config_.admin);
-    admin_->on_health = [this] { return std::string(leaving_ ? "it ends" : ""); };
-    admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
-  }
   notices_.pause_after = [this](int failures) { return decision_->pause_after(failures); };
+  if (baggage) take_over(state, *baggage);
+}
+
+Relay::~Relay() {
+  if (admin_) admin_->on_health = nullptr, admin_->on_out = nullptr;
 }
 
 void Relay::run() {
+  if (admin_) {
+    admin_->on_health = [this] { return std::string(leaving_ ? "it ends" : ""); };
+    admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
+  }
   begin();
   for (const auto& endpoint : store_.outs()) decision_->set_out(EndpointId(hash_of(endpoint)), true);
-  take_list(config_.known);
-  recover();
+  if (!taken_over_) take_list(config_.known);
+  std::vector<DocId> all;
+  for (const auto& [doc, held] : store_.held())
+    if (!taken_over_ || held.ended) all.push_back(doc);
+  for (DocId doc : all) owe(doc);
+  // A process that would not hand over may still send: nothing goes from here until it has ended.
+  if (!store_.alone()) decision_->hold(true), adopt_due_.set(loop_.now() + look_again);
+  clients_.go_on();
   settle();
-  log_line("%s serves", config_.name.c_str());
+  if (config_.passed_socket >= 0) {
+    successor_ = std::make_unique<Successor>(loop_, config_.state_folder);
+    successor_->pack = [this](const std::string& numbering) { return pack(numbering); };
+    successor_->on_gone = [this] {
+      handed_over_ = true;
+      loop_.stop();
+    };
+  }
+  log_line("%s serves%s", config_.name.c_str(),
+           taken_over_      ? ", taken over whole"
+           : store_.alone() ? ""
+                            : ", and sends when the process before it has ended");
   loop_.run();
+  if (handed_over_) return log_line("%s is handed over", config_.name.c_str());
   store_.flush();
   log_line("%s ends with %zu documents held", config_.name.c_str(), store_.held().size());
 }
@@ -111,12 +157,101 @@
   return document;
 }
 
-void Relay::recover() {
-  auto wall = Loop::wall();
-  for (auto& [doc, held] : store_.held()) {
-    if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
-    else decision_->take(to_document(held, doc, wall));
+void Relay::owe(DocId doc) {
+  const Held& held = store_.held().at(doc);
+  if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
+  else decision_->take(to_document(held, doc, Loop::wall()));
+}
+
+// Documents of a process that has ended without handing over, as after a restart.
+void Relay::adopt() {
+  begin();
+  for (DocId doc : store_.adopt()) owe(doc);
+  if (!store_.alone()) return adopt_due_.set(loop_.now() + look_again);
+  decision_->hold(false);
+  log_line("%s sends: the process before it has ended", config_.name.c_str());
+}
+
+// All that this process knows and holds, between two turns, so that each request that came is answered.
+std::optional<Baggage> Relay::pack(const std::string& numbering) {
+  // Guards against kinds and halls that mean others there: what is numbered so cannot be handed over.
+  if (numbering != config_.numbering) return log_line("not handed over: kinds or zones differ"), std::nullopt;
+  settle();
+  begin();
+  // Both processes have the connections for a moment, and the limit on descriptors is one.
+  if (2 * (clients_.size() + endpoints_.connections()) > config_.client_connections + config_.endpoint_connections)
+    clients_.give_room(), endpoints_.close_all_idle();
+  Baggage baggage;
+  auto place = [&](int fd) { return baggage.descriptors.push_back(fd), baggage.descriptors.size() - 1; };
+  auto stream = [&](const Stream::Kept& kept) {
+    return Json::array({place(kept.fd), kept.connecting, kept.in, kept.out});
+  };
+  auto store = store_.pass();
+  Json all{{"form", baggage_form}, {"version", list_version_}, {"decision", decision_->hand_over()}};
+  all["store"] = {store.path, store.image, place(store.descriptor), store.last, store.file_bytes, store.behind};
+  for (const auto& [endpoint, entry] : known_)
+    all["known"].push_back(Json::array({endpoint, entry.destination, entry.kind, entry.hall, entry.listed_rate}));
+  for (const auto& [endpoint, at] : endpoints_.addresses())
+    all["places"].push_back(Json::array({endpoint, at.host, at.port}));
+  for (const auto& one : clients_.keep())
+    all["clients"].push_back(
+        Json::array({stream(one.stream), one.asked, one.input_over, one.finishing, one.used_at}));
+  for (const auto& one : endpoints_.keep()) {
+    auto items = Json::array();
+    for (const auto& item : one.items)
+      items.push_back(Json::array({item.doc, item.transmission, item.until, item.id}));
+    all["calls"].push_back(Json::array({one.endpoint, one.address.host, one.address.port, stream(one.stream), items,
+                                        one.request, one.several, one.held, one.hung_up, one.trailing, one.sent_at,
+                                        one.idle_since, one.kept}));
+  }
+  Json::to_cbor(all, baggage.text);
+  return baggage;
+}
+
+void Relay::take_over(const Json& state, Baggage& baggage) {
+  decision_->take_over(state.at("decision").get<std::string>());
+  list_version_ = state.at("version").get<std::int64_t>();
+  auto list = [&](const char* name) { return state.value(name, Json::array()); };
+  for (const auto& one : list("known")) {
+    EndpointEntry entry;
+    entry.endpoint = one.at(0).get<EndpointId>(), entry.destination = one.at(1).get<DestinationId>();
+    entry.kind = one.at(2).get<KindId>(), entry.hall = one.at(3).get<HallId>();
+    entry.listed_rate = one.at(4).get<double>();
+    known_[entry.endpoint] = entry;
+  }
+  for (const auto& one : list("places"))
+    endpoints_.locate(one.at(0).get<EndpointId>(), {one.at(1).get<std::string>(), one.at(2).get<int>()});
+  auto stream = [&](const Json& one) {
+    return Stream::Kept{baggage.take(one.at(0).get<std::size_t>()), one.at(1).get<bool>(),
+                        one.at(2).get<std::string>(), one.at(3).get<std::string>()};
+  };
+  std::vector<Clients::Kept> clients;
+  for (const auto& one : list("clients"))
+    clients.push_back({stream(one.at(0)), one.at(1).get<bool>(), one.at(2).get<bool>(), one.at(3).get<bool>(),
+                       one.at(4).get<double>()});
+  clients_.take(clients);
+  std::vector<Endpoints::Kept> calls;
+  for (const auto& one : list("calls")) {
+    Endpoints::Kept kept{one.at(0).get<EndpointId>(),
+                         {one.at(1).get<std::string>(), one.at(2).get<int>()},
+                         stream(one.at(3)),
+                         {},
+                         one.at(5).get<std::string>(),
+                         one.at(6).get<bool>(),
+                         one.at(7).get<bool>(),
+                         one.at(8).get<bool>(),
+                         one.at(9).get<bool>(),
+                         one.at(10).get<double>(),
+                         one.at(11).get<double>(),
+                         one.at(12).get<double>()};
+    for (const auto& item : one.at(4))
+      kept.items.push_back({item.at(0).get<DocId>(), item.at(1).get<int>(), item.at(2).get<double>(),
+                            item.at(3).get<std::string>()});
+    calls.push_back(std::move(kept));
   }
+  endpoints_.take(calls);
+  watch_.has_whole();
+  taken_over_ = true;
 }
 
 void Relay::take_list(const ListAnswer& list) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "relay/config.h"
 #include "relay/discovery.h"
 #include "relay/endpoints.h"
+#include "relay/handover.h"
 #include "relay/loop.h"
 #include "relay/store.h"
 
@@ -23,8 +25,11 @@
 
 class Relay {
  public:
-  explicit Relay(Config config);
-  void run();  // until a SIGTERM has been gone through
+  // With baggage it starts as the process that gave it stopped; what it takes of that is marked there. It does
+  // nothing before it runs, so that it can still be given up.
+  Relay(Config config, Loop& loop, Admin* admin, Baggage* baggage);
+  ~Relay();
+  void run();  // until a SIGTERM has been gone through, or all is handed over
 
  private:
   // What came since the last turn, in its order.
@@ -33,11 +38,15 @@
     AnswerTo answer_to;
   };
 
+  Relay(Config config, Loop& loop, Admin* admin, const nlohmann::json& state, Baggage* baggage);
+  void take_over(const nlohmann::json& state, Baggage& baggage);
+  std::optional<Baggage> pack(const std::string& numbering);
+  void adopt();
+  void owe(DocId doc);  // its end again, or its transmissions
   Document to_document(const Held& held, DocId doc, Millis wall) const;
   void hand_in(const Handed& handed, AnswerTo answer_to);
   void ended(const Outcome& outcome);
   void take_list(const ListAnswer& list);
-  void recover();
   void begin();   // opens a turn, if none is open
   void settle();  // ends the turn: asks the module, notes, answers, sends
   void hold_back(const std::vector<Transmit>& transmitted);
@@ -50,7 +59,7 @@
   void leave_further();
 
   Config config_;
-  Loop loop_;
+  Loop& loop_;
   Store store_;
   const std::unique_ptr<Decision> decision_;
   Clients clients_;
@@ -59,14 +68,16 @@
   Notices notices_;
   Timer turn_due_, leaving_due_;
   Signals signals_;
-  std::unique_ptr<Admin> admin_;
+  Admin* const admin_;
+  std::unique_ptr<Successor> successor_;
+  Timer adopt_due_;
 
   std::map<EndpointId, EndpointEntry> known_;
   std::vector<Arrived> arrived_;
   std::vector<Outcome> not_sent_;  // told to the module in the next turn
   std::int64_t list_version_ = -1;
   Millis settled_at_ = -1e18;
-  bool turn_open_ = false, leaving_ = false;
+  bool turn_open_ = false, leaving_ = false, taken_over_ = false, handed_over_ = false;
   Millis leave_at_ = 0;
 };
 
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -4,6 +4,8 @@
 #include "relay/store.h"
 
 #include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -14,6 +16,7 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 #include "relay/log.h"
 #include "settings/settings.h"
@@ -114,6 +117,35 @@
   return record + inner;
 }
 
+constexpr int files_most = 16;
+constexpr int lives = -1, missing = -2;  // instead of a descriptor
+
+std::string file_name(const std::string& folder, int n) {
+  auto name = folder + "/held";
+  if (n > 1) name.append(1, '.').append(std::to_string(n));
+  return name;
+}
+
+std::string bytes_of(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+}
+
+// The file with its lock, or whether its owner lives.
+int locked(const std::string& path) {
+  while (true) {
+    int fd = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+    if (fd < 0) return missing;
+    bool held = ::flock(fd, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK;
+    struct stat here {}, there {};
+    // Guards against a file that its owner replaced by a compacted one between the two steps above.
+    bool same = ::fstat(fd, &here) == 0 && ::stat(path.c_str(), &there) == 0 && here.st_ino == there.st_ino;
+    if (same && !held) return fd;
+    ::close(fd);
+    if (same) return lives;
+  }
+}
+
 bool write_all(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
     auto count = ::write(fd, bytes.data(), bytes.size());
@@ -129,12 +161,83 @@
 Store::Store(std::string folder, std::size_t bytes_most)
     : folder_(std::move(folder)), bytes_most_(bytes_most) {
   std::filesystem::create_directories(folder_);
-  recover();
+  find_files();
   if (!compact()) throw std::runtime_error("cannot write in the folder " + folder_);
 }
 
+Store::Store(std::string folder, std::size_t bytes_most, const Passed& passed)
+    : folder_(std::move(folder)), bytes_most_(bytes_most), path_(passed.path), fd_(passed.descriptor) {
+  find_files();
+  recover(passed.image);
+  last_ = passed.last, file_bytes_ = passed.file_bytes, behind_ = passed.behind;
+}
+
 Store::~Store() {
   if (fd_ >= 0) ::close(fd_);
+  for (auto& [path, fd] : taken_up_) ::close(fd);
+}
+
+Store::Passed Store::pass() const { return {path_, image(), fd_, last_, file_bytes_, behind_}; }
+
+bool Store::has_owner(const std::string& folder) {
+  for (int n = 1; n <= files_most; ++n) {
+    int fd = locked(file_name(folder, n));
+    if (fd == lives) return true;
+    if (fd >= 0) ::close(fd);
+  }
+  return false;
+}
+
+// Files are found by their names: one of a process that lives stays with it, any other is taken up. The first
+// name that is not another's is this process's own.
+void Store::find_files() {
+  for (int n = 1; n <= files_most; ++n) {
+    auto path = file_name(folder_, n);
+    if (path == path_) continue;
+    int fd = locked(path);
+    if (fd == lives) others_.push_back(path);
+    else if (fd >= 0) take_up(path, fd);
+    if (fd != lives && path_.empty()) path_ = path;
+  }
+  if (path_.empty()) throw std::runtime_error("all files in the folder " + folder_ + " belong to others");
+  // What staff have taken out is out for this process too, whoever has the file that says so.
+  for (const auto& path : others_) {
+    auto kept = std::exchange(held_, {});
+    auto last = last_, live = live_bytes_;
+    auto ids = std::exchange(by_id_, {});
+    recover(bytes_of(path));
+    held_ = std::move(kept), by_id_ = std::move(ids), last_ = last, live_bytes_ = live;
+  }
+}
+
+void Store::take_up(const std::string& path, int fd) {
+  std::remove((path + ".new").c_str());
+  base_ = last_;
+  recover(bytes_of(path));
+  base_ = 0;
+  taken_up_.emplace_back(path, fd);
+}
+
+std::vector<DocId> Store::adopt() {
+  std::vector<DocId> came;
+  auto before = last_;
+  auto outs = outs_;
+  std::vector<std::string> living;
+  for (const auto& path : std::exchange(others_, {})) {
+    int fd = locked(path);
+    if (fd == lives) living.push_back(path);
+    else if (fd >= 0) take_up(path, fd);
+  }
+  others_ = std::move(living);
+  outs_ = std::move(outs);  // read at the start already; since then this process alone is told
+  for (auto found = held_.upper_bound(DocId(before)); found != held_.end();) {
+    auto at = found++;
+    // Guards against one that both files hold, as after a kill between the two steps of a compaction.
+    if (by_id_.at(at->second.id) != at->first) live_bytes_ -= at->second.bytes, held_.erase(at);
+    else came.push_back(at->first);
+  }
+  if (!taken_up_.empty()) behind_ = true;  // the own file does not hold them yet
+  return came;
 }
 
 DocId Store::add(Held document) {
@@ -164,8 +267,9 @@
 // pending, and all that is live must fit together; and what is live, twice.
 bool Store::has_room(std::size_t bytes) {
   auto wanted = live_bytes_ + bytes + 2 * upkeep_bytes;
-  if (wanted * 2 + slack_bytes > bytes_most_) return false;
-  if (file_bytes_ + pending_.size() + wanted + slack_bytes > bytes_most_) return compact();
+  auto most = this->most();
+  if (wanted * 2 + slack_bytes > most) return false;
+  if (file_bytes_ + pending_.size() + wanted + slack_bytes > most) return compact();
   return true;
 }
 
@@ -219,7 +323,7 @@
   if (pending_.empty() && !behind_) return true;
   // Compaction writes the documents as they are now, with all that is pending.
   if (behind_) pending_.clear();
-  if (behind_ || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > bytes_most_) return compact();
+  if (behind_ || file_bytes_ + pending_.size() + live_bytes_ + slack_bytes > most()) return compact();
   bool written = write_all(fd_, pending_);
   if (written) file_bytes_ += pending_.size();
   pending_.clear();
@@ -231,17 +335,33 @@
   return compact();
 }
 
+std::string Store::image() const {
+  std::string bytes;
+  for (const auto& [doc, document] : held_)
+    if (document.noted) bytes += record_of('T', doc, whole(document));
+  for (const auto& endpoint : outs_) bytes += record_of('O', DocId{}, text_record(endpoint));
+  return bytes;
+}
+
+// While another process lives, both share the room: no more than half of what it leaves.
+std::size_t Store::most() const {
+  std::size_t taken = 0;
+  std::error_code none;
+  for (const auto& path : others_)
+    if (auto size = std::filesystem::file_size(path, none); !none) taken += size + slack_bytes;
+  return others_.empty() ? bytes_most_ : (bytes_most_ - std::min(bytes_most_, taken)) / 2;
+}
+
 bool Store::compact() {
-  auto fresh = folder_ + "/held.new", kept = folder_ + "/held";
+  auto fresh = path_ + ".new", kept = path_;
   int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0) {
     log_line("store: cannot make a file: %s", std::strerror(errno));
     return false;
   }
-  std::string bytes;
-  for (const auto& [doc, document] : held_)
-    if (document.noted) bytes += record_of('T', doc, whole(document));
-  for (const auto& endpoint : outs_) bytes += record_of('O', DocId{}, text_record(endpoint));
+  auto bytes = image();
+  // Locked before it has its name: nobody may find it without an owner.
+  ::flock(fd, LOCK_EX | LOCK_NB);
   if (!write_all(fd, bytes) || std::rename(fresh.c_str(), kept.c_str()) != 0) {
     log_line("store: cannot compact %zu bytes: %s", bytes.size(), std::strerror(errno));
     ::close(fd);
@@ -251,13 +371,14 @@
   if (fd_ >= 0) ::close(fd_);
   fd_ = fd, file_bytes_ = bytes.size(), behind_ = false;
   pending_.clear();
+  for (const auto& [path, taken] : std::exchange(taken_up_, {})) {
+    if (path != path_) std::remove(path.c_str());
+    ::close(taken);
+  }
   return true;
 }
 
-void Store::recover() {
-  std::remove((folder_ + "/held.new").c_str());
-  std::ifstream file(folder_ + "/held", std::ios::binary);
-  std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+void Store::recover(std::string_view bytes) {
   std::size_t at = 0;
   while (at + head_bytes <= bytes.size()) {
     std::uint32_t size = 0, sum = 0;
@@ -265,13 +386,13 @@
     std::memcpy(&sum, bytes.data() + at + sizeof size, sizeof sum);
     // Guards against a torn tail: a kill may cut the last record short; what it tells never counted.
     if (size > bytes.size() - at - head_bytes) break;
-    auto inner = std::string_view(bytes).substr(at + head_bytes, size);
+    auto inner = bytes.substr(at + head_bytes, size);
     if (sum_of(inner) != sum) break;
     at += head_bytes + size;
     try {
       Reader reader(inner);
       char kind = reader.number<char>();
-      DocId doc{reader.number<std::uint64_t>()};
+      DocId doc{base_ + reader.number<std::uint64_t>()};
       last_ = std::max(last_, static_cast<std::uint64_t>(doc));
       apply(kind, doc, reader.rest());
     } catch (const Fault& fault) { log_line("store: %s", fault.what()); }
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -1,5 +1,6 @@
-// Owns the documents that this relay holds, and the file that lets them outlive its process. It must never
-// decide what becomes of a document, and never grow past the room it was given.
+// Owns the documents that this relay holds, and the file that lets them outlive its process. A file belongs to
+// the process that has its lock, and to nobody else: one whose owner has ended is taken up by whoever locks it
+// first. It must never decide what becomes of a document, and never grow past the room it was given.
 #pragma once
 
 #include <cstddef>
@@ -38,7 +39,23 @@
 
 class Store {
  public:
+  // A store as it goes to the process that takes this one's place: the file with its lock, and what it says.
+  struct Passed {
+    std::string path, image;
+    int descriptor = -1;
+    std::uint64_t last = 0;
+    std::size_t file_bytes = 0;
+    bool behind = false;
+  };
+  static bool has_owner(const std::string& folder);  // a living process, that is
+
   Store(std::string folder, std::size_t bytes_most);
+  Store(std::string folder, std::size_t bytes_most, const Passed& passed);
+  Passed pass() const;
+  // Files of other processes that live: none; else adopt() takes up those whose owner has ended since, and says
+  // which documents came.
+  bool alone() const { return others_.empty(); }
+  std::vector<DocId> adopt();
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
@@ -58,7 +75,11 @@
   bool flush();            // what was noted outlives the process from here on; false: it may not
 
  private:
-  void recover();
+  void find_files();
+  void take_up(const std::string& path, int fd);
+  void recover(std::string_view bytes);
+  std::string image() const;
+  std::size_t most() const;
   bool compact();
   void change(char kind, DocId doc, std::string_view rest);  // notes and applies
   void apply(char kind, DocId doc, std::string_view rest);
@@ -68,7 +89,10 @@
   const std::size_t bytes_most_;
   std::map<DocId, Held> held_;
   std::unordered_map<std::string_view, DocId> by_id_;  // slices of the held ids
-  std::uint64_t last_ = 0;
+  std::uint64_t last_ = 0, base_ = 0;  // base: added to the numbers of the file that is read
+  std::string path_;
+  std::vector<std::string> others_;                      // files whose owner lives
+  std::vector<std::pair<std::string, int>> taken_up_;    // files read, to go with the next compaction
   std::set<std::string> outs_;
   std::string pending_;
   int fd_ = -1;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -27,6 +27,9 @@
 #include <string>
 #include <vector>
 
+#include "relay/handover.h"
+#include "settings/settings.h"
+
 namespace rockcrank {
 
 using Words = std::map<std::string, std::string>;
@@ -79,6 +82,9 @@
   }
   ~StandIn() {
     end_process(SIGKILL);
+    if (old_ > 0) ::kill(old_, SIGCONT), ::kill(old_, SIGKILL), waitpid(old_, nullptr, 0);
+    if (passed_ >= 0) ::close(passed_);
+    pose({{"gone", "1"}});
     for (auto& [fd, peer] : peers_) ::close(fd);
     for (auto& [name, endpoint] : endpoints_)
       if (endpoint.listener >= 0) ::close(endpoint.listener);
@@ -360,26 +366,69 @@
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     return path;
   }
+  // One more process beside the one that runs, as an upgrade begins; the one before gets its SIGTERM on the yes.
+  void replace(const Words& words) {
+    old_ = std::exchange(pid_, -1);
+    admin_port_ = port_of(probe_ = listen_on(0));
+    ::close(probe_);
+    Words again = words;
+    again["passed"] = again["admin"] = again["run"] = "serve";
+    start(again);
+    auto begun = now();
+    for (int turn = 0; now() < begun + number(words, "within", 6000); ++turn) {
+      auto name = "health" + std::to_string(healths_++);
+      if (connected(name, admin_port_) >= 0) {
+        say(name, "HEALTH\n");
+        pump(500, [&] { return peers_[clients_[name]].ended; });
+        if (peers_[clients_[name]].in == "done\n") {
+          if (!words.count("keep_old")) ::kill(old_, SIGTERM);
+          return;
+        }
+      }
+      pump(20, [] { return false; });
+    }
+    ADD_FAILURE() << "no yes in time: " << log();
+  }
+  // Someone who asks for all as a successor does, and takes it or not.
+  void pose(const Words& words) {
+    if (words.count("gone")) {
+      for (int fd : std::exchange(posing_, {})) ::close(fd);
+      return;
+    }
+    Predecessor predecessor(folder_ + "/state");
+    auto numbering =
+        words.count("numbering") ? words.at("numbering")
+                                 : std::to_string(hash_of(Json{settings_["skus"], settings_["zones"]}.dump()));
+    auto got = predecessor.ask(numbering);
+    EXPECT_EQ(got.has_value(), !words.count("numbering"));
+    if (words.count("silent")) pump(1000, [] { return false; });
+    if (got) posing_ = got->descriptors;
+    if (words.count("kills")) ::kill(pid_, SIGKILL), waitpid(std::exchange(pid_, -1), &status_, 0);
+    if (!words.count("keep")) pose({{"gone", "1"}});
+  }
   void start(const Words& words) {
     auto state = folder_ + "/state", path = write_config(words);
     std::filesystem::create_directories(state);
     auto files = static_cast<rlim_t>(number(words, "files", 0));
     auto largest = static_cast<rlim_t>(number(words, "file_bytes", 0));
+    bool passed = words.count("passed") > 0;
+    if (passed && passed_ < 0) passed_ = listen_on(relay_port_);
     end_process(SIGKILL);
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // no relay outlives the tests
       setenv("BALANCER_CONFIG", path.c_str(), 1), setenv("BALANCER_STATE", state.c_str(), 1);
-      int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+      int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | (old_ > 0 ? O_APPEND : O_TRUNC), 0600);
       dup2(log, 1), dup2(log, 2);
-      close_range(3, ~0u, 0);  // whatever this runner was started with: descriptors are counted
+      if (passed) dup2(passed_, 3), setenv("BALANCER_PASSED_SOCKET", "3", 1);
+      close_range(passed ? 4 : 3, ~0u, 0);  // whatever this runner was started with: descriptors are counted
       rlimit limit{files, files}, size{largest, largest};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
       if (largest > 0) setrlimit(RLIMIT_FSIZE, &size);
       execl(PROGRAM, PROGRAM, words.count("run") ? words.at("run").c_str() : "serve", nullptr);
       _exit(127);
     }
-    clients_.clear();
+    if (old_ < 0) clients_.clear();
     if (words.count("config") || words.count("run")) return;
     bool up = pump(5000, [&] { return client("first") >= 0; });
     ASSERT_TRUE(up) << "the relay does not listen: " << log();
@@ -473,6 +522,21 @@
       say(plain.at(1), rest_of(2));
     } else if (verb == "open") {
       for (int i = 0; i < int(number(words, "times", 1)); ++i) client(plain.at(1) + std::to_string(i));
+    } else if (verb == "replace") {
+      if (old_ > 0) ::kill(old_, SIGKILL), waitpid(old_, nullptr, 0), old_ = -1;
+      replace(words);
+    } else if (verb == "pose") {
+      pose(words);
+    } else if (verb == "stall") {
+      ::kill(pid_, SIGSTOP);
+    } else if (verb == "old") {
+      bool gone = plain.at(1) == "ends";
+      if (plain.at(1) == "resumes") return void(::kill(old_, SIGCONT));
+      if (!gone) ::kill(old_, SIGKILL);
+      EXPECT_TRUE(pump(number(words, "within", 1000), [&] { return waitpid(old_, &status_, WNOHANG) == old_; }))
+          << log();
+      EXPECT_TRUE(!gone || (WIFEXITED(status_) && WEXITSTATUS(status_) == 0)) << log();
+      old_ = -1;
     } else if (verb == "dial") {
       EXPECT_GE(connected(plain.at(1), admin_port_), 0) << "nobody listens at the second address";
     } else if (verb == "program") {
@@ -590,7 +654,9 @@
 
   std::string folder_;
   int agent_ = -1, probe_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
-  pid_t pid_ = -1;
+  pid_t pid_ = -1, old_ = -1;
+  int passed_ = -1, healths_ = 0;
+  std::vector<int> posing_;
   Json settings_;
   std::int64_t revision_ = 1;
   bool agent_silent_ = false;
