Follow the list from the version known, and come back to discovery fleet-wide apart

Each relay asked twice over (the whole list, then a watch), and gave up after 1 s what would have been answered after 1.5 s.

Change: the list is followed from the version known, without the whole list before; an answer is waited for longer than discovery takes (list_within); one turned away comes again along the ladder, which then begins with the time that the whole fleet needs one by one; relays that start with a list ask for the next one apart. Guards also against a discovery that is slow for other reasons. Harm: a relay of many that is turned away learns later of what is new; it would have been turned away again.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -209,7 +209,7 @@
   auto scope = fields.word("scope");
   if (scope == "FAILED") {
     fields.text();
-    guarded(instance, [](Decision& d) { d.list_failed(); });
+    guarded(instance, [](Decision& d) { d.list_failed(false); });
     return;
   }
   if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED")
--- a/src/decision/carry.h
+++ b/src/decision/carry.h
@@ -1,6 +1,6 @@
-// Owns how the module's state is put into a text and read from it again, for the process that takes this one's
-// place. It knows no field by itself: each type lists its own in fields(). It must never decide, nor make up
-// what is not there: a text that does not fit throws.
+// Owns how the module's state is put into a text and read from it again, for the process that takes this
+// one's place. It knows no field by itself: each type lists its own in fields(). It must never decide, nor
+// make up what is not there: a text that does not fit throws.
 #pragma once
 
 #include <cstdint>
@@ -17,7 +17,9 @@
 namespace rockcrank::state {
 
 template <typename Type>
-concept Listing = requires(Type& thing) { thing.fields(); };
+concept Listing = requires(Type& thing) {
+  thing.fields();
+};
 
 class Carried {
  public:
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -35,10 +35,10 @@
   Fading calls{15000}, recent{2000}, good{4000}, bad{4000}, ended{10000}, slow{10000}, took{8000},
       timed{8000}, answered{8000}, broke{8000};  // answered: documents; the others: calls
   auto fields() {
-    return std::tie(name, bundle_max, limit, left_share, hinted_at, told_until, mode, endpoints, failures_in_row,
-                    refused_in_row, follow_left, calls_out, opened_at, trial_at, failing_since, cold_since,
-                    rate_before, own_pace, patience, credit, paced_at, credited_at, calls, recent, good, bad, ended,
-                    slow, took, timed, answered, broke);
+    return std::tie(name, bundle_max, limit, left_share, hinted_at, told_until, mode, endpoints,
+                    failures_in_row, refused_in_row, follow_left, calls_out, opened_at, trial_at,
+                    failing_since, cold_since, rate_before, own_pace, patience, credit, paced_at, credited_at,
+                    calls, recent, good, bad, ended, slow, took, timed, answered, broke);
   }
 };
 
@@ -57,10 +57,18 @@
   // What is handed over as it is; settings, chance and what each turn finds anew is not.
   auto parts() {
     return std::tie(routes_, lanes_, out_, used_, outs_, idle_broken_, list_failures_, due_, forgot_at_,
-                    longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_, begun_, freed_, took_,
-                    timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_);
+                    longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_, begun_, freed_,
+                    took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_);
   }
   using RouteKey = std::pair<bool, std::uint64_t>;
+  static RouteKey key_of(const Endpoint& e) {
+    return {e.apart, e.apart ? static_cast<std::uint64_t>(e.id) : static_cast<std::uint64_t>(e.destination)};
+  }
+  void rank(Endpoint& e) {
+    auto& ranked = destinations_[e.destination].ranked;
+    ranked.push_back(&e);
+    std::ranges::sort(ranked, {}, &Endpoint::rank);
+  }
 
  public:
   Decider(const Settings& settings, std::uint64_t seed)
@@ -94,6 +102,8 @@
 
   void list(const std::vector<EndpointEntry>& entries, bool whole) override {
     list_failures_ = 0;
+    if (follow_at_ == 0)
+      follow_at_ = now_ + drawn(0, list_spread());  // started with a list, as all others may be
     if (whole)
       for (auto& [id, endpoint] : endpoints_) endpoint.standing = Standing::gone, used_.insert(id);
     for (const auto& entry : entries) {
@@ -102,16 +112,15 @@
       if (!endpoint.route) {
         const Kind& kind = set_.kinds[static_cast<std::size_t>(entry.kind)];
         auto whole = static_cast<std::uint64_t>(entry.destination);
-        auto name = kind.routes_apart ? static_cast<std::uint64_t>(entry.endpoint) : whole;
-        endpoint.id = entry.endpoint, endpoint.hall = entry.hall, endpoint.out = outs_.count(entry.endpoint) > 0;
-        Route& route = *(endpoint.route = &routes_[{kind.routes_apart, name}]);
-        route.name = name, route.bundle_max = kind.bundle_max, ++route.endpoints;
+        endpoint.id = entry.endpoint, endpoint.hall = entry.hall,
+        endpoint.out = outs_.count(entry.endpoint) > 0;
+        endpoint.destination = entry.destination, endpoint.apart = kind.routes_apart;
+        Route& route = *(endpoint.route = &routes_[key_of(endpoint)]);
+        route.name = key_of(endpoint).second, route.bundle_max = kind.bundle_max, ++route.endpoints;
         // Ranked by hashing; endpoints in the relay's own hall come first, as a crossing costs.
         endpoint.rank = mixed(whole, static_cast<std::uint64_t>(entry.endpoint)) >> 1;
         if (endpoint.hall != set_.hall) endpoint.rank |= std::uint64_t{1} << 63;
-        auto& ranked = destinations_[entry.destination].ranked;
-        ranked.push_back(&endpoint);
-        std::ranges::sort(ranked, {}, &Endpoint::rank);
+        rank(endpoint);
       }
       endpoint.standing = entry.standing, used_.insert(entry.endpoint);
       if (set_.limits_listed && endpoint.route->hinted_at < 0) endpoint.route->limit = entry.listed_rate;
@@ -120,12 +129,18 @@
       endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
-  // Guards against a herd: after a release all relays ask at once, and discovery that turns callers away does
-  // so for longer, the more often they come. The ladder, drawn from all of itself, spreads them.
-  void list_failed() override { follow_at_ = now_ + drawn(0, 2) * ladder(std::min(++list_failures_, 5)); }
+  // Guards against a herd: relays that ask at once, and again soon, keep discovery at answers that come too
+  // late for them. The ladder, drawn from all of itself, begins with the time that all of them need one by
+  // one.
+  void list_failed(bool turned_away) override {
+    Millis first = turned_away ? std::max(ladder_base, std::min(4000.0, list_spread())) : ladder_base;
+    follow_at_ = now_ + first / ladder_base * drawn(0, 2) * ladder(std::min(++list_failures_, 3));
+  }
+  Millis list_spread() const { return std::min(5000.0, 100.0 * set_.relays); }
 
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
+    doc.destination = given.destination;
     doc.id = given.id, doc.to = &destinations_[given.destination], doc.expiry = now_ + given.left;
     doc.type = &types_[static_cast<std::size_t>(given.type)];
     doc.most = given.most > 0 ? given.most : set_.max_transmissions;
@@ -221,38 +236,25 @@
   std::string hand_over() override {
     Carried all;
     all.put(parts());
-    std::map<const Route*, RouteKey> keys;
-    std::map<const Endpoint*, DestinationId> owners;
-    std::map<const Destination*, DestinationId> names;
-    for (const auto& [key, route] : routes_) keys[&route] = key;
-    for (const auto& [id, to] : destinations_) {
-      names[&to] = id;
-      for (const Endpoint* e : to.ranked) owners[e] = id;
-    }
-    for (auto& [id, e] : endpoints_) all.add("endpoints", std::pair(keys[e.route], owners[&e]), e);
+    for (auto& [id, e] : endpoints_) all.add("endpoints", id, e);
     for (auto& [number, call] : calls_) all.add("calls", std::pair(number, call.endpoint->id), call);
-    for (auto& [id, doc] : docs_) all.add("docs", std::pair(*doc.type, names[doc.to]), doc);
+    for (auto& [id, doc] : docs_) all.add("docs", *doc.type, doc);
     return all.text();
   }
   void take_over(const std::string& state) override {
     Carried all(state);
     all.get(parts());
-    all.each<std::pair<RouteKey, DestinationId>, Endpoint>("endpoints", [&](const auto& where, const Endpoint& e) {
-      Endpoint& here = endpoints_[e.id] = e;
-      here.route = &routes_.at(where.first);
-      auto& ranked = destinations_[where.second].ranked;
-      ranked.push_back(&here);
-      std::ranges::sort(ranked, {}, &Endpoint::rank);
+    all.each<EndpointId, Endpoint>("endpoints", [&](EndpointId id, const Endpoint& e) {
+      (endpoints_[id] = e).route = &routes_.at(key_of(e));
+      rank(endpoints_[id]);
     });
     all.each<std::pair<std::uint64_t, EndpointId>, Call>("calls", [&](const auto& where, const Call& call) {
-      Endpoint& endpoint = endpoints_.at(where.second);
-      calls_[where.first] = call;
-      calls_[where.first].endpoint = &endpoint, calls_[where.first].route = endpoint.route;
+      (calls_[where.first] = call).endpoint = &endpoints_.at(where.second);
+      calls_[where.first].route = endpoints_.at(where.second).route;
     });
-    all.each<std::pair<DocType, DestinationId>, Doc>("docs", [&](const auto& where, const Doc& doc) {
-      Doc& here = docs_[doc.id] = doc;
-      here.type = &types_[static_cast<std::size_t>(number_of(where.first))];
-      here.to = &destinations_[where.second], ++here.to->docs;
+    all.each<DocType, Doc>("docs", [&](const DocType& type, const Doc& doc) {
+      (docs_[doc.id] = doc).type = &types_[static_cast<std::size_t>(number_of(type))];
+      docs_[doc.id].to = &destinations_[doc.destination], ++docs_[doc.id].to->docs;
     });
     follow_at_ = set_.list_on_request ? 0 : never;
   }
@@ -522,9 +524,7 @@
   }
 
   // Rule 2: no effect twice. The one place that allows a further transmission at a given time.
-  bool may_go_again(const Doc& doc, Millis when) const {
-    return doc.out == 0 && marked(doc, when);
-  }
+  bool may_go_again(const Doc& doc, Millis when) const { return doc.out == 0 && marked(doc, when); }
   bool marked(const Doc& doc, Millis when) const {
     if (!doc.may_have_run() || doc.type->repeat == Repeat::replayable) return true;
     return doc.type->repeat == Repeat::numbered && when < doc.risked_at + doc.type->key_window - margin();
@@ -700,8 +700,8 @@
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
   bool is_spent(Doc& doc) {
     // Told to wait past its expiry, a document cannot go any more, whoever of its destination was told.
-    bool late = doc.tries >= doc.most ||
-                std::max(doc.not_before, doc.to->told_until) >= doc.expiry - margin();
+    bool late =
+        doc.tries >= doc.most || std::max(doc.not_before, doc.to->told_until) >= doc.expiry - margin();
     return doc.out == 0 && (late || !may_go_again(doc, std::max(now_, doc.not_before)));
   }
   void end(Doc& doc) {
@@ -735,7 +735,8 @@
       if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
       calls_[number = ++call_number_] = Call{&route, &endpoint, now_, 0, idle};
       ++begun_, ++calls_out_, ++route.calls_out, ++endpoint.calls_out;
-      endpoint.paced_until = now_ + std::min(1000.0 * set_.relays, 1000 / cold_pace(route, now_ - endpoint.back_at));
+      endpoint.paced_until =
+          now_ + std::min(1000.0 * set_.relays, 1000 / cold_pace(route, now_ - endpoint.back_at));
       route.calls.add(now_, 1), route.recent.add(now_, 1);
       route.credit = credit(route) - 1;
     }
@@ -791,8 +792,7 @@
     for (auto& [id, to] : destinations_) {
       if (!std::exchange(to.wanted, false)) continue;
       for (Endpoint* e : to.ranked)
-        if (e->open())
-          wake_at(opened(*e) ? now_ + set_.tick : free_at(*e->route)), wake_at(room_at(*e));
+        if (e->open()) wake_at(opened(*e) ? now_ + set_.tick : free_at(*e->route)), wake_at(room_at(*e));
     }
     return due;
   }
@@ -815,9 +815,10 @@
   Millis follow_at_ = set_.list_on_request ? 0 : never;
   Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
-  int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off, outcome awaited
-  Call* overdue_ = nullptr;                                     // the furthest, if any
-  bool held_ = false;  // another process may still send
+  int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0,
+      freed_ = 0;            // freed: called off, outcome awaited
+  Call* overdue_ = nullptr;  // the furthest, if any
+  bool held_ = false;        // another process may still send
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
   std::map<RouteKey, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -59,7 +59,7 @@
   double start_capacity = 1;
   Millis warm_within = 0;
   Millis order_rest = 0;
-  Millis reject_wait_max = 0;  // 0: clients are told no time to come back
+  Millis reject_wait_max = 0;      // 0: clients are told no time to come back
   std::vector<DocType> doc_types;  // numbered from 0 in this order at the start
   std::vector<Kind> kinds;
   std::vector<double> tenant_rates;  // documents a second within a tenant's share, all relays together
@@ -157,7 +157,7 @@
 
   virtual void begin(Millis now) = 0;
   virtual void list(const std::vector<EndpointEntry>& entries, bool whole) = 0;
-  virtual void list_failed() = 0;  // following the list failed or ended
+  virtual void list_failed(bool turned_away) = 0;  // following the list failed or ended
   // New settings bind from now on; documents held keep the type and the allowance they were taken on with.
   virtual void retune(const Settings& settings) = 0;
   virtual DocTypeId number_of(const DocType& type) = 0;  // alike for like types, for as long as this lives
@@ -168,8 +168,8 @@
   virtual void set_out(EndpointId endpoint, bool out) = 0;
   // While another process may still send for this relay, nothing goes; all else is as ever.
   virtual void hold(bool held) = 0;
-  // All that this module knows, for the one in the process that takes this one's place, on the same clock. The
-  // other throws std::exception, and has changed nothing that counts, where it cannot read it.
+  // All that this module knows, for the one in the process that takes this one's place, on the same clock.
+  // The other throws std::exception, and has changed nothing that counts, where it cannot read it.
   virtual std::string hand_over() = 0;
   virtual void take_over(const std::string& state) = 0;
   virtual void leave(Millis within) = 0;  // the relay ends then; what it holds by then waits for its restart
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -38,7 +38,9 @@
 
 struct Endpoint {
   EndpointId id{};
+  DestinationId destination{};
   HallId hall{};
+  bool apart = false;  // its route is its own
   Standing standing = Standing::listed;
   bool out = false;  // taken out by staff, whatever the list says
   Route* route = nullptr;
@@ -46,11 +48,12 @@
   int calls_out = 0, failures_in_row = 0, room = 0;  // room: calls when it was last full
   bool turns_away = false;                           // full, told by refusals, which cost little
   Millis rests_until = -never, answered_at = -never, room_met_at = -never, cap_met_at = -never,
-         idle_since = never, gone_at = never;  // cap: of connections, idle ones counted
+         idle_since = never, gone_at = never;     // cap: of connections, idle ones counted
   Millis back_at = -never, paced_until = -never;  // put back by staff; the next call there not before
   auto fields() {
-    return std::tie(id, hall, standing, out, rank, calls_out, failures_in_row, room, turns_away, rests_until,
-                    answered_at, room_met_at, cap_met_at, idle_since, gone_at, back_at, paced_until);
+    return std::tie(id, destination, hall, apart, standing, out, rank, calls_out, failures_in_row, room,
+                    turns_away, rests_until, answered_at, room_met_at, cap_met_at, idle_since, gone_at,
+                    back_at, paced_until);
   }
   bool open() const { return standing == Standing::listed && !out; }
 };
@@ -80,6 +83,7 @@
 struct Doc {
   DocId id{};
   const DocType* type = nullptr;
+  DestinationId destination{};
   Destination* to = nullptr;
   bool over_share = false, ordered = false;
   KeyId key{};
@@ -90,8 +94,8 @@
   HallId risked_hall{};
   bool may_have_run() const { return risked_at < never; }
   auto fields() {
-    return std::tie(id, over_share, ordered, key, turn_taken, agreed_by, expiry, not_before, tries, most, failures,
-                    out, risked_at, risked_hall);
+    return std::tie(id, destination, over_share, ordered, key, turn_taken, agreed_by, expiry, not_before,
+                    tries, most, failures, out, risked_at, risked_hall);
   }
 };
 
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -53,7 +53,10 @@
 
  public:
   Client(Clients& owner, std::uint64_t number, const Kept& kept)
-      : owner_(owner), number_(number), stream_(owner.loop_, kept.stream), due_(owner.loop_, [this] { late(); }) {
+      : owner_(owner),
+        number_(number),
+        stream_(owner.loop_, kept.stream),
+        due_(owner.loop_, [this] { late(); }) {
     hear();
     first_ = kept.asked, finishing_ = kept.finishing, input_over_ = kept.input_over, used_at_ = kept.used_at;
     due_.set(owner_.loop_.now() + (finishing_ ? linger : whole_within));
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -45,7 +45,7 @@
   void stop_listening();
   std::vector<Kept> keep() const;  // once all that came is answered
   void take(const std::vector<Kept>& kept);
-  void go_on();                // with what had come on them
+  void go_on();  // with what had come on them
   std::size_t size() const { return clients_.size(); }
   void give_room();            // closes all that may be closed between requests
   void close_after_answers();  // each connection, once nothing on it is unanswered
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -15,7 +15,11 @@
 
 constexpr std::size_t list_most = 4 << 20;
 constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
-constexpr Millis answer_within = 1000;        // the agent is on this machine and answers at once
+constexpr Millis answer_within = 1000;        // the agent is on this machine and answers notices at once
+// A list comes from discovery, which answers after what was asked before, or gives up after 2 s. Guards
+// against asking anew while it works on the answer: that is work for nothing, and each further call makes all
+// wait longer.
+constexpr Millis list_within = 2500;
 
 }  // namespace
 
@@ -81,11 +85,11 @@
 }
 
 Watch::Watch(Loop& loop, const Address& agent) : asker_(loop, agent) {
-  asker_.on_failure = [this] { on_failure(); };
+  asker_.on_failure = [this] { on_failure(false); };
   asker_.on_answer = [this](const HttpAnswer& answer) {
     if (answer.status != 200 || !on_list(answer.body())) {
       log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
-      return on_failure();
+      return on_failure(answer.status == 503);
     }
     whole_ = false;
     next();  // at once, or changes in between are lost to the watch
@@ -101,7 +105,8 @@
 void Watch::follow(Millis wait) {
   wait_ = wait;
   if (asker_.asking()) return;
-  if (whole_) return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", answer_within);
+  if (whole_ && version() < 0)
+    return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", list_within);
   next();
 }
 
@@ -111,7 +116,7 @@
   auto wait = std::to_string(static_cast<int>(wait_));
   asker_.ask("GET /v1/servers?after=" + std::to_string(version()) + "&wait_ms=" + wait +
                  " HTTP/1.1\r\nHost: agent\r\n\r\n",
-             wait_ + answer_within);
+             wait_ + list_within);
 }
 
 Notices::Notices(Loop& loop, const Address& agent)
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -45,7 +45,7 @@
  public:
   Watch(Loop& loop, const Address& agent);
   std::function<bool(std::string_view body)> on_list;  // takes in an answer; false: it cannot be read
-  std::function<void()> on_failure;
+  std::function<void(bool turned_away)> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
   void follow(Millis wait);               // so long for each answer, also where nothing changes
   void has_whole() { whole_ = false; }    // the list held is this agent's, as of its version
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -107,8 +107,8 @@
     else watch_rest();
   }
   Kept keep() const {
-    return {endpoint_, address_, stream_.keep(), items_,   request_,    several_, held_,
-            hung_up_,  trailing_, sent_at_,      idle_since_, kept_};
+    return {endpoint_, address_, stream_.keep(), items_,   request_,    several_,
+            held_,     hung_up_, trailing_,      sent_at_, idle_since_, kept_};
   }
   bool busy() const { return !items_.empty() || trailing_; }
   bool held() const { return held_ && !request_.empty(); }
@@ -247,7 +247,8 @@
     // Any other answer that cannot be read whole tells nothing: its first line may be spoilt too.
     if (!whole && !true_already) return stop(Ending::broken);
     if (!std::exchange(trailing_, partial)) tell(answer);
-    // Guards against answers that stop short: the endpoint counts such a call as out until its connection ends.
+    // Guards against answers that stop short: the endpoint counts such a call as out until its connection
+    // ends.
     if (partial) return timer_.set(owner_.loop_.now() + rest_within);
     if (!whole || answer.closes || ended || unwritten()) return owner_.drop(*this);
     stream_.consume(answer.size);
--- a/src/relay/handover.cpp
+++ b/src/relay/handover.cpp
@@ -1,5 +1,5 @@
-// Both sides of a hand-over; handover.h says what it owns. The old side blocks while it gives, so that nothing
-// changes under what it gives, but never for longer than a caller at the second address may wait.
+// Both sides of a hand-over; handover.h says what it owns. The old side blocks while it gives, so that
+// nothing changes under what it gives, but never for longer than a caller at the second address may wait.
 
 #include "relay/handover.h"
 
@@ -29,7 +29,8 @@
 constexpr const char* name = "/successor";
 
 Millis monotonic() {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
 // A path may be longer than a Unix address holds; the folder is then reached through a descriptor of it.
@@ -196,10 +197,11 @@
   char said = 0;
   sent = sent && send_bytes(fd, baggage->text.data(), baggage->text.size(), until) &&
          receive_bytes(fd, &said, 1, until) && said == 'r';
-  // The one step from which on all is the other's. Not even this process could tell, where it fails, whether the
-  // other still lives; so it goes on, and the other, that heard nothing, does not.
+  // The one step from which on all is the other's. Not even this process could tell, where it fails, whether
+  // the other still lives; so it goes on, and the other, that heard nothing, does not.
   said = 'g';
-  if (!sent || ::send(fd, &said, 1, MSG_NOSIGNAL) != 1) return log_line("a successor came and did not take over");
+  if (!sent || ::send(fd, &said, 1, MSG_NOSIGNAL) != 1)
+    return log_line("a successor came and did not take over");
   on_gone();
 }
 
@@ -218,8 +220,8 @@
   auto line = numbering + "\n";
   std::uint64_t sizes[2] = {0, 0};
   if (!send_bytes(fd_, line.data(), line.size(), until) ||
-      !receive_bytes(fd_, reinterpret_cast<char*>(sizes), sizeof sizes, until) || sizes[0] > descriptors_most ||
-      sizes[1] > text_most)
+      !receive_bytes(fd_, reinterpret_cast<char*>(sizes), sizeof sizes, until) ||
+      sizes[0] > descriptors_most || sizes[1] > text_most)
     return {};
   Baggage baggage;
   bool whole = true;
--- a/src/relay/handover.h
+++ b/src/relay/handover.h
@@ -1,6 +1,7 @@
-// Owns the talk between a relay and the process that takes its place: over a Unix socket in the state folder the
-// old one gives away all it holds in one piece, descriptors included, and ends; or goes on as if nobody had
-// asked. It must never decide who owns a document: the lock on the store's file does, and it travels along.
+// Owns the talk between a relay and the process that takes its place: over a Unix socket in the state folder
+// the old one gives away all it holds in one piece, descriptors included, and ends; or goes on as if nobody
+// had asked. It must never decide who owns a document: the lock on the store's file does, and it travels
+// along.
 #pragma once
 
 #include <functional>
@@ -23,7 +24,8 @@
 // The old side: listens for a successor.
 class Successor : public Handler {
  public:
-  // Tells what to give to one whose documents, kinds and halls are numbered as `numbering` says; none: nothing.
+  // Tells what to give to one whose documents, kinds and halls are numbered as `numbering` says; none:
+  // nothing.
   std::function<std::optional<Baggage>(const std::string& numbering)> pack;
   std::function<void()> on_gone;  // all was taken: from now on nothing here is this process's
 
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -31,8 +31,8 @@
 int call(const std::string& command, const std::string& operand) {
   bool named = command != "health";
   if (named == operand.empty()) {
-    std::fprintf(stderr, "rockcrank: %s takes %s\n%s", command.c_str(), named ? "an endpoint's id" : "nothing",
-                 usage);
+    std::fprintf(stderr, "rockcrank: %s takes %s\n%s", command.c_str(),
+                 named ? "an endpoint's id" : "nothing", usage);
     return 2;
   }
   std::string line = command == "health" ? "HEALTH" : command == "offline" ? "OFFLINE " : "ONLINE ";
@@ -55,7 +55,8 @@
   std::unique_ptr<rockcrank::Admin> admin;
   if (config.admin.port != 0) admin = std::make_unique<rockcrank::Admin>(loop, config.admin);
   auto until = loop.now() + taken_within;
-  while (config.passed_socket >= 0 && loop.now() < until && rockcrank::Store::has_owner(config.state_folder)) {
+  while (config.passed_socket >= 0 && loop.now() < until &&
+         rockcrank::Store::has_owner(config.state_folder)) {
     rockcrank::Predecessor predecessor(config.state_folder);
     if (auto baggage = predecessor.ask(config.numbering)) {
       try {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -29,7 +29,8 @@
   const Json& store = state.at("store");
   Store::Passed passed;
   passed.path = store.at(0).get<std::string>(), passed.image = store.at(1).get<std::string>();
-  passed.descriptor = baggage.take(store.at(2).get<std::size_t>()), passed.last = store.at(3).get<std::uint64_t>();
+  passed.descriptor = baggage.take(store.at(2).get<std::size_t>()),
+  passed.last = store.at(3).get<std::uint64_t>();
   passed.file_bytes = store.at(4).get<std::size_t>(), passed.behind = store.at(5).get<bool>();
   return passed;
 }
@@ -71,13 +72,16 @@
     return decision_->may_begin(doc, transmission);
   };
   watch_.version = [this] { return list_version_; };
-  watch_.on_failure = [this] {
+  watch_.on_failure = [this](bool turned_away) {
     begin();
-    decision_->list_failed();
+    ++list_failures_;
+    decision_->list_failed(turned_away);
   };
   watch_.on_list = [this](std::string_view body) {
     try {
       take_list(config_.to_list(nlohmann::json::parse(body)));
+      if (auto failures = std::exchange(list_failures_, 0); failures > 0)
+        log_line("watch: version %lld after %d failures", static_cast<long long>(list_version_), failures);
       return true;
     } catch (const std::exception& error) {
       log_line("watch: %s", error.what());
@@ -179,7 +183,8 @@
   settle();
   begin();
   // Both processes have the connections for a moment, and the limit on descriptors is one.
-  if (2 * (clients_.size() + endpoints_.connections()) > config_.client_connections + config_.endpoint_connections)
+  if (2 * (clients_.size() + endpoints_.connections()) >
+      config_.client_connections + config_.endpoint_connections)
     clients_.give_room(), endpoints_.close_all_idle();
   Baggage baggage;
   auto place = [&](int fd) { return baggage.descriptors.push_back(fd), baggage.descriptors.size() - 1; };
@@ -188,9 +193,11 @@
   };
   auto store = store_.pass();
   Json all{{"form", baggage_form}, {"version", list_version_}, {"decision", decision_->hand_over()}};
-  all["store"] = {store.path, store.image, place(store.descriptor), store.last, store.file_bytes, store.behind};
+  all["store"] = {store.path, store.image,      place(store.descriptor),
+                  store.last, store.file_bytes, store.behind};
   for (const auto& [endpoint, entry] : known_)
-    all["known"].push_back(Json::array({endpoint, entry.destination, entry.kind, entry.hall, entry.listed_rate}));
+    all["known"].push_back(
+        Json::array({endpoint, entry.destination, entry.kind, entry.hall, entry.listed_rate}));
   for (const auto& [endpoint, at] : endpoints_.addresses())
     all["places"].push_back(Json::array({endpoint, at.host, at.port}));
   for (const auto& one : clients_.keep())
@@ -200,9 +207,9 @@
     auto items = Json::array();
     for (const auto& item : one.items)
       items.push_back(Json::array({item.doc, item.transmission, item.until, item.id}));
-    all["calls"].push_back(Json::array({one.endpoint, one.address.host, one.address.port, stream(one.stream), items,
-                                        one.request, one.several, one.held, one.hung_up, one.trailing, one.sent_at,
-                                        one.idle_since, one.kept}));
+    all["calls"].push_back(Json::array({one.endpoint, one.address.host, one.address.port, stream(one.stream),
+                                        items, one.request, one.several, one.held, one.hung_up, one.trailing,
+                                        one.sent_at, one.idle_since, one.kept}));
   }
   Json::to_cbor(all, baggage.text);
   return baggage;
@@ -438,7 +445,8 @@
 // Maintenance outlives this process: it is noted before the answer, and told to the module in the same round.
 std::string Relay::take_out(const std::string& name, bool out) {
   EndpointId endpoint{hash_of(name)};
-  if (!known_.count(endpoint) && !store_.outs().count(name)) return "no such endpoint: " + rockcrank::quoted(name);
+  if (!known_.count(endpoint) && !store_.outs().count(name))
+    return "no such endpoint: " + rockcrank::quoted(name);
   if (!store_.set_out(name, out)) return "it cannot be noted: the folder is full or cannot be written";
   begin();
   decision_->set_out(endpoint, out);
@@ -446,13 +454,14 @@
   return {};
 }
 
-// SIGHUP: a new file counts whole or not at all. Documents held keep the type they were taken on with; breakers,
-// waits and cold returns live on. What is numbered in all that is held waits for the next start, and so do
-// addresses but the agent's, and limits of the process.
+// SIGHUP: a new file counts whole or not at all. Documents held keep the type they were taken on with;
+// breakers, waits and cold returns live on. What is numbered in all that is held waits for the next start,
+// and so do addresses but the agent's, and limits of the process.
 void Relay::read_again() {
   try {
     auto fresh = read_config(&config_);
-    bool moved = fresh.discovery.host != config_.discovery.host || fresh.discovery.port != config_.discovery.port;
+    bool moved =
+        fresh.discovery.host != config_.discovery.host || fresh.discovery.port != config_.discovery.port;
     if (moved) watch_.move_to(fresh.discovery), notices_.move_to(fresh.discovery);
     log_line("read again: discovery at %s:%d, %zu document types, %d transmissions at most%s",
              fresh.discovery.host.c_str(), fresh.discovery.port, fresh.doc_types.size(),
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -25,8 +25,8 @@
 
 class Relay {
  public:
-  // With baggage it starts as the process that gave it stopped; what it takes of that is marked there. It does
-  // nothing before it runs, so that it can still be given up.
+  // With baggage it starts as the process that gave it stopped; what it takes of that is marked there. It
+  // does nothing before it runs, so that it can still be given up.
   Relay(Config config, Loop& loop, Admin* admin, Baggage* baggage);
   ~Relay();
   void run();  // until a SIGTERM has been gone through, or all is handed over
@@ -76,6 +76,7 @@
   std::vector<Arrived> arrived_;
   std::vector<Outcome> not_sent_;  // told to the module in the next turn
   std::int64_t list_version_ = -1;
+  int list_failures_ = 0;
   Millis settled_at_ = -1e18;
   bool turn_open_ = false, leaving_ = false, taken_over_ = false, handed_over_ = false;
   Millis leave_at_ = 0;
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -137,7 +137,8 @@
     int fd = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
     if (fd < 0) return missing;
     bool held = ::flock(fd, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK;
-    struct stat here {}, there {};
+    struct stat here {
+    }, there{};
     // Guards against a file that its owner replaced by a compacted one between the two steps above.
     bool same = ::fstat(fd, &here) == 0 && ::stat(path.c_str(), &there) == 0 && here.st_ino == there.st_ino;
     if (same && !held) return fd;
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -1,6 +1,6 @@
-// Owns the documents that this relay holds, and the file that lets them outlive its process. A file belongs to
-// the process that has its lock, and to nobody else: one whose owner has ended is taken up by whoever locks it
-// first. It must never decide what becomes of a document, and never grow past the room it was given.
+// Owns the documents that this relay holds, and the file that lets them outlive its process. A file belongs
+// to the process that has its lock, and to nobody else: one whose owner has ended is taken up by whoever
+// locks it first. It must never decide what becomes of a document, and never grow past the room it was given.
 #pragma once
 
 #include <cstddef>
@@ -52,8 +52,8 @@
   Store(std::string folder, std::size_t bytes_most);
   Store(std::string folder, std::size_t bytes_most, const Passed& passed);
   Passed pass() const;
-  // Files of other processes that live: none; else adopt() takes up those whose owner has ended since, and says
-  // which documents came.
+  // Files of other processes that live: none; else adopt() takes up those whose owner has ended since, and
+  // says which documents came.
   bool alone() const { return others_.empty(); }
   std::vector<DocId> adopt();
   ~Store();
@@ -72,7 +72,7 @@
   // Endpoints taken out by staff, by their names in the list. False: not noted, and nothing has changed.
   bool set_out(const std::string& endpoint, bool out);
   const std::set<std::string>& outs() const { return outs_; }
-  bool flush();            // what was noted outlives the process from here on; false: it may not
+  bool flush();  // what was noted outlives the process from here on; false: it may not
 
  private:
   void find_files();
@@ -89,10 +89,10 @@
   const std::size_t bytes_most_;
   std::map<DocId, Held> held_;
   std::unordered_map<std::string_view, DocId> by_id_;  // slices of the held ids
-  std::uint64_t last_ = 0, base_ = 0;  // base: added to the numbers of the file that is read
+  std::uint64_t last_ = 0, base_ = 0;                  // base: added to the numbers of the file that is read
   std::string path_;
-  std::vector<std::string> others_;                      // files whose owner lives
-  std::vector<std::pair<std::string, int>> taken_up_;    // files read, to go with the next compaction
+  std::vector<std::string> others_;                    // files whose owner lives
+  std::vector<std::pair<std::string, int>> taken_up_;  // files read, to go with the next compaction
   std::set<std::string> outs_;
   std::string pending_;
   int fd_ = -1;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -128,7 +128,7 @@
         if (words.count("repeat")) type.repeat = Repeat::binding;
       decision_->retune(fresh);
     } else if (verb == "unlisted") {
-      decision_->list_failed();
+      decision_->list_failed(false);
     } else if (verb == "list" || verb == "drain" || verb == "gone") {
       EndpointEntry e;
       e.endpoint = EndpointId(tag(plain.at(1))), e.destination = DestinationId(of("for", 1));
@@ -338,9 +338,9 @@
   std::vector<DocId> order_;
   std::multimap<Millis, Outcome> pending_;
   std::vector<Sent> sent_;
-  std::map<std::string, std::map<DocId, Millis>> ended_{
-      {"answered", {}}, {"rejected", {}}, {"abandoned", {}}, {"closed", {}}, {"thinned", {}},
-      {"forgotten", {}}, {"follows", {}}};
+  std::map<std::string, std::map<DocId, Millis>> ended_{{"answered", {}}, {"rejected", {}}, {"abandoned", {}},
+                                                        {"closed", {}},   {"thinned", {}},  {"forgotten", {}},
+                                                        {"follows", {}}};
   std::vector<std::string> logs_;
 };
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -239,6 +239,12 @@
 
   bool told(int fd, Peer& peer, const std::string& head, const std::string& body) {
     if (agent_silent_) return true;
+    bool lists = head.rfind("GET /v1/servers", 0) == 0;
+    asked_ += lists, asked_whole_ += lists && head.find('?') > head.find('\r');
+    if (lists && agent_busy_) {
+      later_.emplace(now(), Later{fd, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false});
+      return true;
+    }
     if (head.rfind("POST /reports ", 0) == 0) {
       std::istringstream lines(body);
       for (std::string one; std::getline(lines, one);) {
@@ -366,7 +372,8 @@
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     return path;
   }
-  // One more process beside the one that runs, as an upgrade begins; the one before gets its SIGTERM on the yes.
+  // One more process beside the one that runs, as an upgrade begins; the one before gets its SIGTERM on the
+  // yes.
   void replace(const Words& words) {
     old_ = std::exchange(pid_, -1);
     admin_port_ = port_of(probe_ = listen_on(0));
@@ -396,9 +403,9 @@
       return;
     }
     Predecessor predecessor(folder_ + "/state");
-    auto numbering =
-        words.count("numbering") ? words.at("numbering")
-                                 : std::to_string(hash_of(Json{settings_["skus"], settings_["zones"]}.dump()));
+    auto numbering = words.count("numbering")
+                         ? words.at("numbering")
+                         : std::to_string(hash_of(Json{settings_["skus"], settings_["zones"]}.dump()));
     auto got = predecessor.ask(numbering);
     EXPECT_EQ(got.has_value(), !words.count("numbering"));
     if (words.count("silent")) pump(1000, [] { return false; });
@@ -501,7 +508,7 @@
     } else if (verb == "agent" && plain.at(1) == "forgets") {
       for (auto& [fd, peer] : peers_) peer.watching = -1;
     } else if (verb == "agent") {
-      agent_silent_ = plain.at(1) == "silent";
+      agent_silent_ = plain.at(1) == "silent", agent_busy_ = plain.at(1) == "busy";
     } else if (verb == "reload") {
       write_config(words);
       end_process(SIGHUP);
@@ -533,8 +540,9 @@
       bool gone = plain.at(1) == "ends";
       if (plain.at(1) == "resumes") return void(::kill(old_, SIGCONT));
       if (!gone) ::kill(old_, SIGKILL);
-      EXPECT_TRUE(pump(number(words, "within", 1000), [&] { return waitpid(old_, &status_, WNOHANG) == old_; }))
-          << log();
+      EXPECT_TRUE(pump(number(words, "within", 1000), [&] {
+        return waitpid(old_, &status_, WNOHANG) == old_;
+      })) << log();
       EXPECT_TRUE(!gone || (WIFEXITED(status_) && WEXITSTATUS(status_) == 0)) << log();
       old_ = -1;
     } else if (verb == "dial") {
@@ -615,6 +623,7 @@
         std::filesystem::directory_iterator open("/proc/" + std::to_string(pid_) + "/fd"), end;
         return static_cast<std::size_t>(std::distance(open, end));
       };
+    else if (what == "asked") count = [&] { return plain.size() > 2 ? asked_whole_ : asked_; };
     else if (what == "batches") count = [&] { return batches_; };
     else if (what == "connections") count = [&] { return connections_[plain.at(2)]; };
     else if (what == "notices")
@@ -659,7 +668,8 @@
   std::vector<int> posing_;
   Json settings_;
   std::int64_t revision_ = 1;
-  bool agent_silent_ = false;
+  bool agent_silent_ = false, agent_busy_ = false;
+  std::size_t asked_ = 0, asked_whole_ = 0;
   std::size_t batches_ = 0;
   std::map<std::string, Endpoint> endpoints_;
   std::map<int, Peer> peers_;
