--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -91,21 +91,21 @@
       log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
       return on_failure(answer.status == 503);
     }
-    whole_ = false;
+    going_ = true;
     next();  // at once, or changes in between are lost to the watch
   };
 }
 
 void Watch::move_to(const Address& agent) {
   asker_.move_to(agent);
-  whole_ = true;
   follow(wait_);
 }
 
 void Watch::follow(Millis wait) {
   wait_ = wait;
   if (asker_.asking()) return;
-  if (whole_ && version() < 0)
+  going_ = false;
+  if (version() < 0)
     return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", list_within);
   next();
 }
@@ -116,7 +116,7 @@
   auto wait = std::to_string(static_cast<int>(wait_));
   asker_.ask("GET /v1/servers?after=" + std::to_string(version()) + "&wait_ms=" + wait +
                  " HTTP/1.1\r\nHost: agent\r\n\r\n",
-             wait_ + list_within);
+             wait_ + (going_ ? answer_within : list_within));
 }
 
 Notices::Notices(Loop& loop, const Address& agent)
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -48,14 +48,13 @@
   std::function<void(bool turned_away)> on_failure;
   std::function<std::int64_t()> version;  // of the list held; negative: none
   void follow(Millis wait);               // so long for each answer, also where nothing changes
-  void has_whole() { whole_ = false; }    // the list held is this agent's, as of its version
-  void move_to(const Address& agent);     // followed there at once, from the whole list on
+  void move_to(const Address& agent);     // followed there at once, from the version held
 
  private:
   void next();
   Asker asker_;
   Millis wait_ = 0;
-  bool whole_ = true;  // an agent just met has not told its whole list yet
+  bool going_ = false;  // the agent has answered, and is asked on at once
 };
 
 class Notices {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -257,7 +257,6 @@
     calls.push_back(std::move(kept));
   }
   endpoints_.take(calls);
-  watch_.has_whole();
   taken_over_ = true;
 }
 
