--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -80,6 +80,11 @@
   add_keys(json.at("settings"), "settings.", keys);
   for (const char* name : {"name", "listen", "discovery", "limits", "settings"})
     if (json.contains(name)) keys.insert(name);
+  // What each document type tells, all types of a file have to tell.
+  const Json& types = json.at("settings").at("classes");
+  for (const auto& [field, value] : types.at(0).items())
+    if (std::all_of(types.begin(), types.end(), [&](const Json& type) { return type.contains(field); }))
+      keys.insert("settings.classes.*." + field);
   return keys;
 }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -162,7 +162,12 @@
 }
 
 void Relay::owe(DocId doc) {
-  const Held& held = store_.held().at(doc);
+  Held& held = store_.held().at(doc);
+  // Guards against an upgrade from a version whose files name a type only.
+  if (auto type = config_.doc_types.find(held.doc_type); held.most == 0 && !held.ended) {
+    if (type == config_.doc_types.end()) return end(doc, false, 0);
+    held.type = type->second, held.most = config_.settings.max_transmissions;
+  }
   if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
   else decision_->take(to_document(held, doc, Loop::wall()));
 }
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -277,7 +277,7 @@
 void Store::taken(DocId doc) {
   Held& document = held_.at(doc);
   document.noted = true;
-  pending_ += record_of('T', doc, whole(document));
+  pending_ += record_of('D', doc, whole(document));
 }
 
 void Store::sent(DocId doc, int transmission, Millis at, HallId hall) {
@@ -339,7 +339,7 @@
 std::string Store::image() const {
   std::string bytes;
   for (const auto& [doc, document] : held_)
-    if (document.noted) bytes += record_of('T', doc, whole(document));
+    if (document.noted) bytes += record_of('D', doc, whole(document));
   for (const auto& endpoint : outs_) bytes += record_of('O', DocId{}, text_record(endpoint));
   return bytes;
 }
@@ -410,7 +410,7 @@
     else outs_.erase(reader.text());
     return;
   }
-  if (kind == 'T') {
+  if (kind == 'D' || kind == 'T') {  // T: as version 0.2.0 wrote it, without its type
     Held document;
     for (auto text : texts) document.*text = reader.text();
     document.destination = DestinationId(reader.number<std::uint64_t>());
@@ -418,8 +418,9 @@
     document.transmissions = reader.number<std::int32_t>();
     for (auto count = reader.number<std::uint32_t>(); count > 0; --count)
       document.unproven.push_back(reader.sent());
-    document.ended = reader.number<char>() != 0, document.type = reader.type();
-    document.most = reader.number<std::int32_t>(), document.rejected = reader.number<char>() != 0;
+    document.ended = reader.number<char>() != 0;
+    if (kind == 'D') document.type = reader.type(), document.most = reader.number<std::int32_t>();
+    document.rejected = reader.number<char>() != 0;
     document.reject_wait = reader.number<double>();
     document.bytes = sizeof kind + sizeof doc + rest.size() + upkeep_bytes, document.noted = true;
     live_bytes_ += document.bytes;
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -25,7 +25,7 @@
   std::string id, mark, body, order_key;
   std::string doc_type, tenant;  // by name: their numbers may change with the settings
   DocType type;                  // as it was when the document was taken on, with the transmissions allowed
-  int most = 0;
+  int most = 0;                  // 0: neither is known, as in a file of version 0.2.0
   DestinationId destination{};
   Millis expiry = 0;  // Unix time
   int transmissions = 0;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstring>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -459,6 +460,25 @@
     pid_ = -1;
   }
 
+  // The store's records as version 0.2.0 wrote them: a document's without its type and allowance.
+  void age() {
+    auto path = folder_ + "/state/held";
+    std::ifstream in(path, std::ios::binary);
+    std::string old((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>()), aged;
+    constexpr std::size_t head = 8, added = 39, end = 9;
+    for (std::size_t at = 0; at < old.size();) {
+      std::uint32_t size = 0;
+      std::memcpy(&size, old.data() + at, sizeof size);
+      auto inner = old.substr(at + head, size);
+      at += head + size;
+      if (inner[0] == 'D') inner.erase(inner.size() - end - added, added), inner[0] = 'T';
+      std::uint32_t parts[2] = {static_cast<std::uint32_t>(inner.size()),
+                                static_cast<std::uint32_t>(hash_of(inner) >> 7)};
+      aged.append(reinterpret_cast<const char*>(parts), sizeof parts).append(inner);
+    }
+    std::ofstream(path, std::ios::binary) << aged;
+  }
+
   void obey(const std::vector<std::string>& plain, const Words& words, const std::string& text) {
     const auto& verb = plain[0];
     auto rest_of = [&](std::size_t skipped) {
@@ -523,6 +543,8 @@
       std::filesystem::resize_file(path, size - bytes);
       if (words.count("smear"))
         std::ofstream(path, std::ios::app | std::ios::binary) << std::string(bytes, '#');
+    } else if (verb == "age") {
+      age();
     } else if (verb == "wait") {
       pump(std::stod(plain.at(1)), [] { return false; });
     } else if (verb == "say") {
