Close connections that one of many relays would hardly use again

Cause: on herd, 959 of 1295 calls in 5 s got no connection, at endpoints whose calls would have filled half of their connections.

Change: with more relays than a handful, a connection that lies idle nine tenths of its time is closed when its call ends, without waiting for a sign. This guards against many small partners with few connections as well.

Two relays: as before.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -51,7 +51,7 @@
 // The design's own values.
 constexpr Millis ladder_base = 500, trial_pause = 1000, slow_call = 3000;
 constexpr double ladder_jitter = 0.2, slot_share = 0.75, slow_share = 0.01;
-constexpr int failures_to_open = 5, follow_calls = 3;
+constexpr int failures_to_open = 5, follow_calls = 3, handful = 5;  // of connections, that any endpoint takes
 
 class Decider final : public Decision {
   // What is handed over as it is; settings, chance and what each turn finds anew is not.
@@ -325,12 +325,13 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Endpoints may take only so many connections, idle ones counted. Where some fail, what this relay would
-    // hardly use again is closed at once, as is all to one not listed; where a cap was met, what lies unused:
-    // other relays would be turned away for it.
+    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where
+    // some fail, or many relays keep one each, what this relay would hardly use again is closed at once, as
+    // is all to one not open; where a cap was met, what lies unused: others would be turned away for it.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      bool rare = unconnected_.read(now_) > 0.3 && e.route->calls.per_second(now_) * usual(*e.route) < 100;
+      bool scarce = set_.relays > handful || unconnected_.read(now_) > 0.3;
+      bool rare = scarce && e.route->calls.per_second(now_) * usual(*e.route) < 100;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
       else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
