Close rarely used connections only where one of many relays met a cap

Change: a sign is wanted, but one cap met anywhere by this relay within 30 s is enough, as who keeps a connection at the endpoint itself never meets that one's cap.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -57,8 +57,9 @@
   // What is handed over as it is; settings, chance and what each turn finds anew is not.
   auto parts() {
     return std::tie(routes_, lanes_, out_, used_, outs_, idle_broken_, list_failures_, due_, forgot_at_,
-                    longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_, begun_, freed_,
-                    took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_);
+                    longest_life_, idle_limit_, cap_met_at_, taken_, call_number_, calls_out_, connecting_,
+                    begun_, freed_, took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_,
+                    again_bad_);
   }
   using RouteKey = std::pair<bool, std::uint64_t>;
   static RouteKey key_of(const Endpoint& e) {
@@ -129,9 +130,8 @@
       endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
-  // Guards against a herd: relays that ask at once, and again soon, keep discovery at answers that come too
-  // late for them. The ladder, drawn from all of itself, begins with the time that all of them need one by
-  // one.
+  // Guards against a herd: relays that ask again soon keep discovery at answers that come too late for them.
+  // The ladder, drawn from all of itself, begins with the time that all of them need one by one.
   void list_failed(bool turned_away) override {
     Millis first = turned_away ? std::max(ladder_base, std::min(4000.0, list_spread())) : ladder_base;
     follow_at_ = now_ + first / ladder_base * drawn(0, 2) * ladder(std::min(++list_failures_, 3));
@@ -216,8 +216,7 @@
     if (docs_.count(id)) close(docs_[id]);
   }
 
-  // Maintenance: a standing of its own beside the list's. Whatever is put back was restarted meanwhile and is
-  // cold from its first call on: the route where it is the only one open, else the endpoint alone.
+  // Whatever is put back is cold: the route where it is the only one open, else the endpoint alone.
   void set_out(EndpointId id, bool out) override {
     if (!(out ? outs_.insert(id).second : outs_.erase(id) > 0) || !endpoints_.count(id)) return;
     Endpoint& e = endpoints_[id];
@@ -326,11 +325,11 @@
           }
     }
     // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where
-    // some fail, or many relays keep one each, what this relay would hardly use again is closed at once, as
+    // some fail, or one of many met it, what this relay would hardly use again is closed at once, as
     // is all to one not open; where a cap was met, what lies unused: others would be turned away for it.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      bool scarce = set_.relays > handful || unconnected_.read(now_) > 0.3;
+      bool scarce = unconnected_.read(now_) > 0.3 || (set_.relays > handful && now_ < cap_met_at_ + 30000);
       bool rare = scarce && e.route->calls.per_second(now_) * usual(*e.route) < 100;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
       else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
@@ -408,7 +407,7 @@
     if (at_cap || ((full || got.ending == Ending::not_connected) && endpoint.calls_out > 1 &&
                    call.sent - endpoint.answered_at < 2000)) {
       endpoint.room = endpoint.calls_out - 1, endpoint.turns_away = at_cap || full;
-      if (!full) endpoint.cap_met_at = now_;
+      if (!full) endpoint.cap_met_at = cap_met_at_ = now_;
       if (now_ > std::exchange(endpoint.room_met_at, now_) + longest_span)
         log(route, full ? "queue full" : "connections full", endpoint.room, endpoint.calls_out);
       return;
@@ -814,7 +813,8 @@
   std::deque<DocType> types_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
-  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
+  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never,
+         cap_met_at_ = -never;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0,
       freed_ = 0;            // freed: called off, outcome awaited
