Keep the passed socket when a take-over is given up

Found on reading the change again: the listener closed the inherited descriptor with itself, so a relay that was built to take over and then given up (the old process's state unreadable, or its "go" late) left its successor in the same process without clients' socket, while HEALTH said done. replace_unreadable.relay reproduced it: a document handed in was never answered. The listener has a descriptor of its own on a passed socket now; both ways to make one share what follows.

--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -31,6 +31,28 @@
   return to;
 }
 
+int listening_at(const Address& at) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0), on = 1;
+  auto to = to_sockaddr(at);
+  if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd < 0 || bind(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 || listen(fd, 512) != 0) {
+    std::string why = std::strerror(errno);
+    if (fd >= 0) ::close(fd);
+    throw std::runtime_error("cannot listen on " + at.host + ":" + std::to_string(at.port) + ": " + why);
+  }
+  return fd;
+}
+
+// A descriptor of its own on a socket that others have too. Guards against a relay that is given up before it
+// served: the socket that was passed must be there for the next one. And against a loop that waits in
+// accept() for a connection that another process took first.
+int shared(int listening_fd) {
+  int flags = fcntl(listening_fd, F_GETFL);
+  if (flags >= 0 && fcntl(listening_fd, F_SETFL, flags | O_NONBLOCK) == 0)
+    if (int fd = fcntl(listening_fd, F_DUPFD_CLOEXEC, 3); fd >= 0) return fd;
+  throw std::runtime_error("the passed socket is of no use: " + std::string(std::strerror(errno)));
+}
+
 constexpr std::size_t kept_most = 4096;  // of an empty buffer
 
 volatile sig_atomic_t signal_end = -1;  // a handler reaches nothing but what is static
@@ -295,30 +317,16 @@
 }
 
 Listener::Listener(Loop& loop, const Address& at, std::function<void(int)> taken)
-    : loop_(loop),
-      taken_(std::move(taken)),
-      again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
-  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  int on = 1;
-  auto to = to_sockaddr(at);
-  if (fd_ >= 0) setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 || listen(fd_, 512) != 0) {
-    std::string why = std::strerror(errno);
-    if (fd_ >= 0) ::close(fd_);
-    throw std::runtime_error("cannot listen on " + at.host + ":" + std::to_string(at.port) + ": " + why);
-  }
-  loop_.add(fd_, POLLIN, this);
-}
+    : Listener(loop, std::move(taken), listening_at(at)) {}
 
 Listener::Listener(Loop& loop, int listening_fd, std::function<void(int)> taken)
+    : Listener(loop, std::move(taken), shared(listening_fd)) {}
+
+Listener::Listener(Loop& loop, std::function<void(int)> taken, int own_fd)
     : loop_(loop),
-      fd_(listening_fd),
+      fd_(own_fd),
       taken_(std::move(taken)),
       again_(loop, [this] { loop_.change(fd_, paused_ ? 0 : POLLIN); }) {
-  int flags = fcntl(fd_, F_GETFL);
-  // Guards against a loop that waits in accept() for a connection that another process took first.
-  if (flags < 0 || fcntl(fd_, F_SETFL, flags | O_NONBLOCK) != 0)
-    throw std::runtime_error("the passed socket is of no use: " + std::string(std::strerror(errno)));
   loop_.add(fd_, POLLIN, this);
 }
 
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -135,13 +135,14 @@
 class Listener : public Handler {
  public:
   Listener(Loop& loop, const Address& at, std::function<void(int)> taken);
-  Listener(Loop& loop, int listening_fd, std::function<void(int)> taken);  // one that others may have too
+  Listener(Loop& loop, int listening_fd, std::function<void(int)> taken);  // one that others have, and keep
   ~Listener() override;
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
   void pause(bool paused);
 
  private:
+  Listener(Loop& loop, std::function<void(int)> taken, int own_fd);
   void ready(short events) override;
 
   Loop& loop_;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -16,8 +16,8 @@
 #include <unistd.h>
 
 #include <chrono>
-#include <cstring>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "relay/handover.h"
+#include "relay/store.h"
 #include "settings/settings.h"
 
 namespace rockcrank {
@@ -397,6 +398,26 @@
     }
     ADD_FAILURE() << "no yes in time: " << log();
   }
+  // A process before the next one that gives what cannot be read: it has the store's file and goes on.
+  void elder() {
+    pid_ = fork();
+    if (pid_ != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    Store store(folder_ + "/state", 1000000);
+    auto passed = store.pass();
+    Loop loop;
+    Successor successor(loop, folder_ + "/state");
+    successor.pack = [&](const std::string&) {
+      Baggage baggage;
+      baggage.descriptors = {passed.descriptor};
+      Json all{{"form", 1}, {"version", 1}, {"decision", "no state"}};
+      all["store"] = {passed.path, passed.image, 0, passed.last, passed.file_bytes, passed.behind};
+      Json::to_cbor(all, baggage.text);
+      return baggage;
+    };
+    loop.run();
+    _exit(0);
+  }
   // Someone who asks for all as a successor does, and takes it or not.
   void pose(const Words& words) {
     if (words.count("gone")) {
@@ -556,6 +577,8 @@
       replace(words);
     } else if (verb == "pose") {
       pose(words);
+    } else if (verb == "elder") {
+      elder();
     } else if (verb == "stall") {
       ::kill(pid_, SIGSTOP);
     } else if (verb == "old") {
