Call what is there already: clock, records, addresses, readable texts, connections

Found on reading the change again, behaviour as before: the hand-over had a clock beside Loop's; the second address checked texts as hand_in() did; two places compared addresses by parts; a call restored set its connect time-out by a copy; Clients walked a copy of its numbers three times; the second address was read from the environment and file twice beside told(). The store read another process's file into its own members and put them back, to have only what staff had taken out: records are gone through by one function now, and the base of the numbers is an argument, not state.

--- a/src/relay/admin.cpp
+++ b/src/relay/admin.cpp
@@ -4,8 +4,6 @@
 #include "relay/admin.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -87,10 +85,7 @@
   for (auto rest = line; !rest.empty();)
     if (auto word = cut(rest, ' '); !word.empty()) words.emplace_back(word);
   if (words.empty()) return "error the line is empty";
-  auto readable = [](const std::string& text) {
-    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
-  };
-  if (!std::all_of(words.begin(), words.end(), readable)) return "error the line cannot be read";
+  if (!std::all_of(words.begin(), words.end(), printable)) return "error the line cannot be read";
   bool out = words[0] == "OFFLINE", health = words[0] == "HEALTH";
   if (!health && !out && words[0] != "ONLINE") return "error unknown command " + quoted(words[0]);
   if (health && words.size() > 1) return "error HEALTH takes no argument";
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -39,19 +39,6 @@
     hear();
   }
 
- private:
-  void hear() {
-    stream_.on_data = [this] { read(); };
-    stream_.on_sent = [this] { go_on(); };
-    stream_.on_end = [this] { owner_.ended(number_); };
-    // Whoever has ended its sending still gets its answers.
-    stream_.on_input_end = [this] {
-      input_over_ = true;
-      close_if_idle();
-    };
-  }
-
- public:
   Client(Clients& owner, std::uint64_t number, const Kept& kept)
       : owner_(owner),
         number_(number),
@@ -63,7 +50,10 @@
     if (input_over_) stream_.read_on(false);
   }
   Kept keep() const { return {stream_.keep(), has_asked(), input_over_, finishing_, used_at_}; }
-  void shut() { stream_.close(), due_.clear(); }
+  void give_way() {
+    stream_.close(), due_.clear();
+    owner_.ended(number_);
+  }
   void resume() {
     if (finishing_) stream_.finish();
     else read();
@@ -96,6 +86,17 @@
   }
 
  private:
+  void hear() {
+    stream_.on_data = [this] { read(); };
+    stream_.on_sent = [this] { go_on(); };
+    stream_.on_end = [this] { owner_.ended(number_); };
+    // Whoever has ended its sending still gets its answers.
+    stream_.on_input_end = [this] {
+      input_over_ = true;
+      close_if_idle();
+    };
+  }
+
   void finish() {
     if (!std::exchange(finishing_, true)) due_.set(owner_.loop_.now() + linger);
     pass_on();
@@ -198,18 +199,23 @@
   }
 }
 
-void Clients::go_on() {
+// Each may end, and go, meanwhile.
+template <typename Taker>
+void Clients::each(Taker take) {
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, client] : clients_) numbers.push_back(number);
   for (auto number : numbers)
-    if (auto found = clients_.find(number); found != clients_.end()) found->second->resume();
+    if (auto found = clients_.find(number); found != clients_.end()) take(*found->second);
+}
+
+void Clients::go_on() {
+  each([](Client& client) { client.resume(); });
 }
 
 void Clients::give_room() {
-  std::vector<std::uint64_t> numbers;
-  for (const auto& [number, client] : clients_)
-    if (client->has_asked() && client->may_make_way()) numbers.push_back(number);
-  for (auto number : numbers) clients_.at(number)->shut(), ended(number);
+  each([](Client& client) {
+    if (client.has_asked() && client.may_make_way()) client.give_way();
+  });
 }
 
 Clients::~Clients() = default;
@@ -271,10 +277,7 @@
 
 void Clients::close_after_answers() {
   closing_ = true;
-  std::vector<std::uint64_t> numbers;
-  for (const auto& [number, client] : clients_) numbers.push_back(number);
-  for (auto number : numbers)
-    if (auto found = clients_.find(number); found != clients_.end()) found->second->close_if_idle();
+  each([](Client& client) { client.close_if_idle(); });
 }
 
 }  // namespace rockcrank
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -52,6 +52,8 @@
 
  private:
   class Client;
+  template <typename Taker>
+  void each(Taker take);
   void taken(int fd);
   void ended(std::uint64_t number);
   void make_room();
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -129,6 +129,11 @@
   config.tenants = std::move(tenants), config.settings.tenant_rates = std::move(rates);
 }
 
+std::string said(const Json& json, const char* variable, const char* field) {
+  auto value = environment(variable);
+  return value.empty() ? json.value(field, "") : value;
+}
+
 Json read_file() {
   auto path = environment("BALANCER_CONFIG");
   if (path.empty()) throw std::runtime_error("BALANCER_CONFIG names no configuration file");
@@ -177,8 +182,7 @@
   Json json = read_file();
   if (!json.is_object()) throw std::runtime_error("the configuration file holds no object");
   auto told = [&](const char* variable, const char* field) {
-    auto value = environment(variable);
-    if (value.empty()) value = json.value(field, "");
+    auto value = said(json, variable, field);
     if (value.empty())
       throw std::runtime_error(std::string("neither ") + variable + " nor '" + field + "' is told");
     return value;
@@ -199,8 +203,7 @@
   rlimit files{};
   if (getrlimit(RLIMIT_NOFILE, &files) == 0)
     sockets = std::min(sockets, static_cast<std::size_t>(files.rlim_cur));
-  auto admin = environment("BALANCER_ADMIN");
-  if (admin.empty()) admin = json.value("admin", "");
+  auto admin = said(json, "BALANCER_ADMIN", "admin");
   if (!admin.empty()) config.admin = address_of(admin);
   auto spare = spare_descriptors + (admin.empty() ? 0 : Admin::callers_most + 1);
   if (sockets < spare + 4) throw std::runtime_error("too few sockets: " + std::to_string(sockets));
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -105,8 +105,7 @@
   wait_ = wait;
   if (asker_.asking()) return;
   going_ = false;
-  if (version() < 0)
-    return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", list_within);
+  if (version() < 0) return asker_.ask("GET /v1/servers HTTP/1.1\r\nHost: agent\r\n\r\n", list_within);
   next();
 }
 
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -100,8 +100,7 @@
         idle_since_(from.idle_since),
         kept_(from.kept) {
     hear();
-    if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
-      connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
+    watch_connect();
     if (!items_.empty()) watch_time();
     else if (trailing_) timer_.set(owner_.loop_.now() + rest_within);
     else watch_rest();
@@ -131,8 +130,7 @@
     several_ = parcels.size() > 1;
     request_ = request_of(parcels, address_.host + ":" + std::to_string(address_.port));
     watch_time();
-    if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
-      connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
+    watch_connect();
     if (stream_.state() == Stream::State::up) write();
     else owner_.on_connecting(items_[0].doc, items_[0].transmission);
   }
@@ -196,6 +194,11 @@
 
   void write() { stream_.send(std::exchange(request_, {})); }
 
+  void watch_connect() {
+    if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
+      connect_timer_.set(sent_at_ + owner_.limits_.connect_within);
+  }
+
   void watch_time() {
     Millis next = 1e18;
     for (const auto& item : items_) next = std::min(next, item.until);
@@ -311,7 +314,7 @@
 
 void Endpoints::locate(EndpointId endpoint, const Address& address) {
   Place& place = places_[endpoint];
-  if (place.address.host != address.host || place.address.port != address.port) close_idle(endpoint);
+  if (place.address != address) close_idle(endpoint);
   place.address = address;
 }
 
--- a/src/relay/handover.cpp
+++ b/src/relay/handover.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <chrono>
 #include <cstdint>
 #include <cstring>
 #include <stdexcept>
@@ -28,11 +27,6 @@
 constexpr std::size_t descriptors_at_once = 64, descriptors_most = 4096, text_most = 64 << 20;
 constexpr const char* name = "/successor";
 
-Millis monotonic() {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 // A path may be longer than a Unix address holds; the folder is then reached through a descriptor of it.
 class Place {
  public:
@@ -64,7 +58,7 @@
 bool wait_for(int fd, short events, Millis until) {
   pollfd one{fd, events, 0};
   while (true) {
-    auto left = until - monotonic();
+    auto left = until - Loop::monotonic();
     if (left <= 0) return false;
     int count = poll(&one, 1, static_cast<int>(left) + 1);
     if (count > 0) return true;
@@ -182,11 +176,11 @@
 }
 
 void Successor::give(int fd) {
-  auto until = monotonic() + ask_within;
+  auto until = Loop::monotonic() + ask_within;
   std::string numbering;
   for (char byte = 0; receive_bytes(fd, &byte, 1, until) && byte != '\n' && numbering.size() < 64;)
     numbering += byte;
-  until = monotonic() + give_within;
+  until = Loop::monotonic() + give_within;
   auto baggage = pack(numbering);
   if (!baggage) return;
   std::uint64_t sizes[2] = {baggage->descriptors.size(), baggage->text.size()};
@@ -216,7 +210,7 @@
   Place place(folder_);
   fd_ = local_socket();
   if (fd_ < 0 || connect(fd_, place.address(), place.size()) != 0) return {};
-  auto until = monotonic() + take_within;
+  auto until = Loop::monotonic() + take_within;
   auto line = numbering + "\n";
   std::uint64_t sizes[2] = {0, 0};
   if (!send_bytes(fd_, line.data(), line.size(), until) ||
@@ -235,7 +229,7 @@
 
 bool Predecessor::confirm() {
   char said = 'r';
-  auto until = monotonic() + take_within;
+  auto until = Loop::monotonic() + take_within;
   bool gone = send_bytes(fd_, &said, 1, until) && receive_bytes(fd_, &said, 1, until) && said == 'g';
   drop();
   return gone;
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -88,11 +88,13 @@
       .count();
 }
 
-void Loop::refresh() {
-  now_ =
-      std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
+Millis Loop::monotonic() {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
 }
 
+void Loop::refresh() { now_ = monotonic(); }
+
 void Loop::add(int fd, short events, Handler* handler) {
   places_[fd] = polled_.size();
   polled_.push_back({fd, events, 0});
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -28,6 +28,7 @@
   Loop();
   Millis now() const { return now_; }  // monotonic, as of this round
   static Millis wall();                // Unix time
+  static Millis monotonic();           // at this moment
   void run();
   void stop() { running_ = false; }
 
@@ -74,6 +75,7 @@
 struct Address {
   std::string host;
   int port = 0;
+  bool operator==(const Address&) const = default;
 };
 Address address_of(std::string_view text);  // host:port; throws std::runtime_error
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -305,9 +305,6 @@
     log_line("client: %s", fault.what());
     return say("-ERR bad value\r\n");
   }
-  auto printable = [](std::string_view text) {
-    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
-  };
   if (held.body.size() > Endpoints::body_most) return say("-ERR body too large\r\n");
   if (!config_.doc_types.count(held.doc_type) || left < 0 || !addressed || held.id.empty() ||
       !printable(held.id) || !printable(held.mark) ||
@@ -464,9 +461,8 @@
 void Relay::read_again() {
   try {
     auto fresh = read_config(&config_);
-    bool moved =
-        fresh.discovery.host != config_.discovery.host || fresh.discovery.port != config_.discovery.port;
-    if (moved) watch_.move_to(fresh.discovery), notices_.move_to(fresh.discovery);
+    if (fresh.discovery != config_.discovery)
+      watch_.move_to(fresh.discovery), notices_.move_to(fresh.discovery);
     log_line("read again: discovery at %s:%d, %zu document types, %d transmissions at most%s",
              fresh.discovery.host.c_str(), fresh.discovery.port, fresh.doc_types.size(),
              fresh.settings.max_transmissions,
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -157,6 +157,29 @@
   return true;
 }
 
+// Goes through the records, and says how many bytes they are.
+template <typename Taker>
+std::size_t each_record(std::string_view bytes, Taker take) {
+  std::size_t at = 0;
+  while (at + head_bytes <= bytes.size()) {
+    std::uint32_t size = 0, sum = 0;
+    std::memcpy(&size, bytes.data() + at, sizeof size);
+    std::memcpy(&sum, bytes.data() + at + sizeof size, sizeof sum);
+    // Guards against a torn tail: a kill may cut the last record short; what it tells never counted.
+    if (size > bytes.size() - at - head_bytes) break;
+    auto inner = bytes.substr(at + head_bytes, size);
+    if (sum_of(inner) != sum) break;
+    at += head_bytes + size;
+    try {
+      Reader reader(inner);
+      char kind = reader.number<char>();
+      auto number = reader.number<std::uint64_t>();
+      take(kind, number, reader.rest());
+    } catch (const Fault& fault) { log_line("store: %s", fault.what()); }
+  }
+  return at;
+}
+
 }  // namespace
 
 Store::Store(std::string folder, std::size_t bytes_most)
@@ -169,7 +192,7 @@
 Store::Store(std::string folder, std::size_t bytes_most, const Passed& passed)
     : folder_(std::move(folder)), bytes_most_(bytes_most), path_(passed.path), fd_(passed.descriptor) {
   find_files();
-  recover(passed.image);
+  recover(passed.image, 0);
   last_ = passed.last, file_bytes_ = passed.file_bytes, behind_ = passed.behind;
 }
 
@@ -202,20 +225,15 @@
   }
   if (path_.empty()) throw std::runtime_error("all files in the folder " + folder_ + " belong to others");
   // What staff have taken out is out for this process too, whoever has the file that says so.
-  for (const auto& path : others_) {
-    auto kept = std::exchange(held_, {});
-    auto last = last_, live = live_bytes_;
-    auto ids = std::exchange(by_id_, {});
-    recover(bytes_of(path));
-    held_ = std::move(kept), by_id_ = std::move(ids), last_ = last, live_bytes_ = live;
-  }
+  for (const auto& path : others_)
+    each_record(bytes_of(path), [this](char kind, std::uint64_t, std::string_view rest) {
+      if (kind == 'O' || kind == 'B') apply(kind, DocId{}, rest);
+    });
 }
 
 void Store::take_up(const std::string& path, int fd) {
   std::remove((path + ".new").c_str());
-  base_ = last_;
-  recover(bytes_of(path));
-  base_ = 0;
+  recover(bytes_of(path), last_);
   taken_up_.emplace_back(path, fd);
 }
 
@@ -379,26 +397,12 @@
   return true;
 }
 
-void Store::recover(std::string_view bytes) {
-  std::size_t at = 0;
-  while (at + head_bytes <= bytes.size()) {
-    std::uint32_t size = 0, sum = 0;
-    std::memcpy(&size, bytes.data() + at, sizeof size);
-    std::memcpy(&sum, bytes.data() + at + sizeof size, sizeof sum);
-    // Guards against a torn tail: a kill may cut the last record short; what it tells never counted.
-    if (size > bytes.size() - at - head_bytes) break;
-    auto inner = bytes.substr(at + head_bytes, size);
-    if (sum_of(inner) != sum) break;
-    at += head_bytes + size;
-    try {
-      Reader reader(inner);
-      char kind = reader.number<char>();
-      DocId doc{base_ + reader.number<std::uint64_t>()};
-      last_ = std::max(last_, static_cast<std::uint64_t>(doc));
-      apply(kind, doc, reader.rest());
-    } catch (const Fault& fault) { log_line("store: %s", fault.what()); }
-  }
-  if (at < bytes.size()) log_line("store: %zu bytes of a torn tail skipped", bytes.size() - at);
+void Store::recover(std::string_view bytes, std::uint64_t base) {
+  auto read = each_record(bytes, [&](char kind, std::uint64_t number, std::string_view rest) {
+    last_ = std::max(last_, base + number);
+    apply(kind, DocId{base + number}, rest);
+  });
+  if (read < bytes.size()) log_line("store: %zu bytes of a torn tail skipped", bytes.size() - read);
   if (!held_.empty()) log_line("store: %zu documents recovered", held_.size());
 }
 
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -77,7 +77,7 @@
  private:
   void find_files();
   void take_up(const std::string& path, int fd);
-  void recover(std::string_view bytes);
+  void recover(std::string_view bytes, std::uint64_t base);  // base: added to the numbers of its documents
   std::string image() const;
   std::size_t most() const;
   bool compact();
@@ -89,7 +89,7 @@
   const std::size_t bytes_most_;
   std::map<DocId, Held> held_;
   std::unordered_map<std::string_view, DocId> by_id_;  // slices of the held ids
-  std::uint64_t last_ = 0, base_ = 0;                  // base: added to the numbers of the file that is read
+  std::uint64_t last_ = 0;
   std::string path_;
   std::vector<std::string> others_;                    // files whose owner lives
   std::vector<std::pair<std::string, int>> taken_up_;  // files read, to go with the next compaction
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -20,6 +20,10 @@
   return std::string(1, '\'').append(text.substr(0, 60)).append(1, '\'');
 }
 
+bool printable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 32 && c < 127; });
+}
+
 std::string_view cut(std::string_view& rest, char mark) {
   auto end = rest.find(mark);
   auto part = rest.substr(0, end);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,6 +20,7 @@
 };
 
 std::string quoted(std::string_view text);
+bool printable(std::string_view text);                    // no spaces, no bytes beyond ASCII
 std::string_view cut(std::string_view& rest, char mark);  // the part up to the mark; both go from the rest
 std::int64_t to_integer(std::string_view text, const char* what, std::int64_t low, std::int64_t high);
 double to_number(std::string_view text, const char* what);
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -67,10 +67,7 @@
     char name[] = "/tmp/rockcrank-test-XXXXXX";
     folder_ = mkdtemp(name);
     agent_ = listen_on(0);
-    relay_port_ = port_of(probe_ = listen_on(0));
-    ::close(probe_);
-    admin_port_ = port_of(probe_ = listen_on(0));
-    ::close(probe_);
+    relay_port_ = free_port(), admin_port_ = free_port();
     settings_ = Json::parse(R"({"balancers":1,"az":0,"tickUs":5000,"zones":["h0","h1"],"skus":["m0","m1"],
       "specifics":{"slots":8,"bundleMax":[1,5],"routesApart":[false,false],"decay":"halving"},
       "limits":{"maxAttempts":12,"dialTimeoutUs":1500000,"keepaliveUs":10000000,"openCap":200,"cancel":true,
@@ -152,6 +149,11 @@
     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
     return ntohs(at.sin_port);
   }
+  static int free_port() {
+    int probe = listen_on(0), port = port_of(probe);
+    ::close(probe);
+    return port;
+  }
   static std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 
   // Goes on until the condition holds or the time is over; says whether it held.
@@ -378,13 +380,12 @@
   // yes.
   void replace(const Words& words) {
     old_ = std::exchange(pid_, -1);
-    admin_port_ = port_of(probe_ = listen_on(0));
-    ::close(probe_);
+    admin_port_ = free_port();
     Words again = words;
     again["passed"] = again["admin"] = again["run"] = "serve";
     start(again);
     auto begun = now();
-    for (int turn = 0; now() < begun + number(words, "within", 6000); ++turn) {
+    while (now() < begun + number(words, "within", 6000)) {
       auto name = "health" + std::to_string(healths_++);
       if (connected(name, admin_port_) >= 0) {
         say(name, "HEALTH\n");
@@ -707,7 +708,7 @@
   }
 
   std::string folder_;
-  int agent_ = -1, probe_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
+  int agent_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
   pid_t pid_ = -1, old_ = -1;
   int passed_ = -1, healths_ = 0;
   std::vector<int> posing_;
