One of many relays at a connection cap keeps what is in use half of the time

Cause: connections at small partners were filled with idle ones of the fleet. A relay with a call or two a second there kept one all the same, as the line 'rare' in decide() closed only what was in use less than a tenth of the time. Excluded: the room of the relays (no document turned away at the door, 63 held at most of 125), slots, the listed limits (hints showed nine tenths left where calls were turned away), breakers (destinations turned away without any failure there). Change: where a cap was met within 30 s, one of many relays closes at once what is in use less than half of the time; it would lie idle for longer than a new one takes to come up. Connections that merely failed are closed as before.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -324,13 +324,14 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where
-    // some fail, or one of many met it, what this relay would hardly use again is closed at once, as
-    // is all to one not open; where a cap was met, what lies unused: others would be turned away for it.
+    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where one
+    // of many met it, what would lie idle for longer than a new one takes to come up is closed at once, where
+    // some fail what is hardly used again, as is all to one not open; at a cap, what lies unused.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      bool scarce = unconnected_.read(now_) > 0.3 || (set_.relays > handful && now_ < cap_met_at_ + 30000);
-      bool rare = scarce && e.route->calls.per_second(now_) * usual(*e.route) < 100;
+      double least = set_.relays > handful && now_ < cap_met_at_ + 30000 ? 500 : 0;  // in use half of the time
+      if (unconnected_.read(now_) > 0.3) least = std::max(least, 100.0);
+      bool rare = e.route->calls.per_second(now_) * usual(*e.route) < least;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
       else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
     }
@@ -834,8 +835,7 @@
   Decided done_;
   Fading idle_breaks_{30000}, unconnected_{30000};
   Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
-  std::set<EndpointId> used_;                    // calls there ended this turn
-  std::set<EndpointId> outs_;                    // taken out by staff, listed or not
+  std::set<EndpointId> used_, outs_;  // calls there ended this turn; taken out by staff, listed or not
   std::optional<std::uint64_t> idle_broken_;     // the route
 };
 
