A breaker's trial and the calls that follow it carry what was held, not one document

Cause: destinations that were down do little for 5 s after their return. Excluded: pace (cold credit was left unused), the ladder (fresh documents were there), refusals (none there then), hints. Change: joins() asks for the mode no more; no binding document joins a trial that others go on.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -324,12 +324,12 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where one
-    // of many met it, what would lie idle for longer than a new one takes to come up is closed at once, where
-    // some fail what is hardly used again, as is all to one not open; at a cap, what lies unused.
+    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where
+    // one of many met it, what would lie idle for longer than a new one takes to come up is closed at once,
+    // where some fail what is hardly used again, as is all to one not open; at a cap, what lies unused.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      double least = set_.relays > handful && now_ < cap_met_at_ + 30000 ? 500 : 0;  // in use half of the time
+      double least = set_.relays > handful && now_ < cap_met_at_ + 30000 ? 500 : 0;  // in use half the time
       if (unconnected_.read(now_) > 0.3) least = std::max(least, 100.0);
       bool rare = e.route->calls.per_second(now_) * usual(*e.route) < least;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
@@ -632,7 +632,7 @@
     double broke = route.broke.read(now_), most = broke > 0.1 ? route.answered.read(now_) / broke : never;
     return static_cast<int>(std::clamp(most, 1.0, 1.0 * route.bundle_max));
   }
-  // What goes there in this turn travels in the call that has been opened; beyond its most it waits a turn.
+  // What goes there in this turn, with a trial too, travels in the call opened; beyond its most it waits.
   Call* opened(const Endpoint& endpoint) {
     auto bundle = bundles_.find(endpoint.id);
     Call* call = bundle == bundles_.end() ? nullptr : &calls_[bundle->second];
@@ -640,7 +640,7 @@
   }
   bool joins(const Endpoint& endpoint) {
     Call* call = opened(endpoint);
-    return call && endpoint.route->mode == Mode::closed && call->docs < bundle_most(*endpoint.route);
+    return call && call->docs < bundle_most(*endpoint.route);
   }
 
   // First in rank until it has enough, then the next; failing ones rest while another can take the document.
@@ -656,9 +656,10 @@
       if (!free && !joins(*e)) continue;
       shut = false;
       if (!may_run_at(doc, *e)) continue;
-      // A trial may end without an outcome: no binding document is risked while a harmless one waits there.
-      if (doc.type->repeat == Repeat::binding && (e->route->mode != Mode::closed || sick(*e->route)) &&
-          doc.to->harmless > 0)
+      // A trial may end without an outcome: no binding document is risked while a harmless one waits there,
+      // or with those that go already.
+      bool trial = e->route->mode != Mode::closed, risky = trial || sick(*e->route);
+      if (doc.type->repeat == Repeat::binding && ((risky && doc.to->harmless > 0) || (trial && opened(*e))))
         continue;
       if (!best || burden(*e) < burden(*best)) best = e;
     }
@@ -833,8 +834,7 @@
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
   Decided done_;
-  Fading idle_breaks_{30000}, unconnected_{30000};
-  Fading again_good_{20000}, again_bad_{20000};  // calls after a single failure
+  Fading idle_breaks_{30000}, unconnected_{30000}, again_good_{20000}, again_bad_{20000};  // again: see count
   std::set<EndpointId> used_, outs_;  // calls there ended this turn; taken out by staff, listed or not
   std::optional<std::uint64_t> idle_broken_;     // the route
 };
