Ask whether a destination is sick for binding documents only; name how long a met cap counts

The time that a met cap counts stood in three places as a figure, and the least use of a kept connection was put together in two steps: one name, one choice.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -329,11 +329,11 @@
     // where some fail what is hardly used again, as is all to one not open; at a cap, what lies unused.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      double least = set_.relays > handful && now_ < cap_met_at_ + 30000 ? 500 : 0;  // in use half the time
-      if (unconnected_.read(now_) > 0.3) least = std::max(least, 100.0);
+      bool many_met = set_.relays > handful && now_ < cap_met_at_ + cap_counts;
+      double least = many_met ? 500 : unconnected_.read(now_) > 0.3 ? 100 : 0;  // ms of each second in use
       bool rare = e.route->calls.per_second(now_) * usual(*e.route) < least;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
-      else if (now_ < e.cap_met_at + 30000) done_.closed.push_back({id, trial_pause});
+      else if (now_ < e.cap_met_at + cap_counts) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
     if (now_ >= follow_at_) done_.follow_list = trial_pause, follow_at_ = never;  // a lost watch shows soon
@@ -350,7 +350,7 @@
   };
   using Grade = std::tuple<int, double, std::uint64_t>;
 
-  static constexpr Millis stall = 1000, longest_span = 2500;
+  static constexpr Millis stall = 1000, longest_span = 2500, cap_counts = 30000;
   static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
@@ -511,7 +511,7 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
-      if (now_ < e.cap_met_at + 30000) used_.insert(id);
+      if (now_ < e.cap_met_at + cap_counts) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
       for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
@@ -658,9 +658,9 @@
       if (!may_run_at(doc, *e)) continue;
       // A trial may end without an outcome: no binding document is risked while a harmless one waits there,
       // or with those that go already.
-      bool trial = e->route->mode != Mode::closed, risky = trial || sick(*e->route);
-      if (doc.type->repeat == Repeat::binding && ((risky && doc.to->harmless > 0) || (trial && opened(*e))))
-        continue;
+      bool binding = doc.type->repeat == Repeat::binding, trial = e->route->mode != Mode::closed;
+      if (binding && trial && opened(*e)) continue;
+      if (binding && doc.to->harmless > 0 && (trial || sick(*e->route))) continue;
       if (!best || burden(*e) < burden(*best)) best = e;
     }
     doc.to->shut[slots > set_.slots] = shut;
