Close rarely used connections unasked; one refused connection or short streak is no outage

A probe that booked each held document's reason named cold paces, breakers and told-row paces at healthy small partners. A tap of each batch, with all relays' connections rebuilt from it, showed why: at a failed connection its endpoint had 8 to 9 idle ones of other relays and 2 to 4 calls, against 3 idle otherwise; a single such failure opened breakers and began cold returns of 1/200 call a second.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -57,7 +57,7 @@
   // What is handed over as it is; settings, chance and what each turn finds anew is not.
   auto parts() {
     return std::tie(routes_, lanes_, out_, used_, outs_, idle_broken_, list_failures_, due_, forgot_at_,
-                    longest_life_, idle_limit_, cap_met_at_, taken_, call_number_, calls_out_, connecting_,
+                    longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_,
                     begun_, freed_, took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_,
                     again_bad_);
   }
@@ -324,13 +324,12 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. Where
-    // one of many met it, what would lie idle for longer than a new one takes to come up is closed at once,
-    // where some fail what is hardly used again, as is all to one not open; at a cap, what lies unused.
+    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. One of
+    // many closes what would lie idle for longer than it is in use, where some fail what is hardly used again,
+    // as is all to one not open; at a cap, what lies unused.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      bool many_met = set_.relays > handful && now_ < cap_met_at_ + cap_counts;
-      double least = many_met ? 500 : unconnected_.read(now_) > 0.3 ? 100 : 0;  // ms of each second in use
+      double least = set_.relays > handful ? 500 : unconnected_.read(now_) > 0.3 ? 100 : 0;  // ms a second
       bool rare = e.route->calls.per_second(now_) * usual(*e.route) < least;
       if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
       else if (now_ < e.cap_met_at + cap_counts) done_.closed.push_back({id, trial_pause});
@@ -405,10 +404,15 @@
     // queue full: a lower pace would leave it idle, its documents waiting, once the queue is worked off.
     bool full = got.ending == Ending::refused && got.wait <= 0 && got.hints.told &&
                 (got.hints.limit <= 0 || got.hints.left_share > room_left);
-    if (at_cap || ((full || got.ending == Ending::not_connected) && endpoint.calls_out > 1 &&
-                   call.sent - endpoint.answered_at < 2000)) {
+    // Where connections are refused at once, the first that one of many relays does not get may be one that
+    // others hold: no more go there for a while. One that never comes up tells an outage, as does the second.
+    bool missed = got.ending == Ending::not_connected;
+    bool beside = endpoint.calls_out > 1 && call.sent - endpoint.answered_at < 2000;
+    bool once = missed && set_.relays > handful && endpoint.cap_met_at <= endpoint.answered_at &&
+                got.took < 0.5 * set_.connect_within;
+    if (at_cap || once || ((full || missed) && beside)) {
       endpoint.room = endpoint.calls_out - 1, endpoint.turns_away = at_cap || full;
-      if (!full) endpoint.cap_met_at = cap_met_at_ = now_;
+      if (!full) endpoint.cap_met_at = now_;
       if (now_ > std::exchange(endpoint.room_met_at, now_) + longest_span)
         log(route, full ? "queue full" : "connections full", endpoint.room, endpoint.calls_out);
       return;
@@ -416,7 +420,7 @@
     if (got.ending == Ending::refused) {
       route.refused_in_row += !spent(got.hints) && got.wait <= 0;
       if (now_ > route.paced_at + 300) {
-        double least = route.limit > 0 ? 0.3 * route.limit / set_.relays : 0.3;
+        double least = std::max(0.3, 0.3 * route.limit / set_.relays);
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_;
       }
@@ -572,16 +576,18 @@
   double pace(Route& route) {
     double rate = never, part = 1.0 / set_.relays;
     if (route.limit > 0) {
-      // The relay's own part of the limit; more only while fresh hints say that the others leave room.
+      // The relay's own part of the limit; more only while fresh hints say that the others leave room. While
+      // none tell, half of it: a clump is one relay's, and refusals cut the pace where others were there too.
       bool fresh = now_ < route.hinted_at + 1500;
       double spare = fresh ? std::clamp((route.left_share - room_left) / 0.4, 0.0, 1.0) : 0;
       double held = fresh ? std::clamp(0.5 + route.left_share / 0.4, 0.5, 1.0) : 1;
       rate = route.limit * (part * held + (1 - part) * spare);
-      if (held >= 1) rate = std::max(rate, std::min(1.0, 0.25 * route.limit));
+      if (held >= 1) rate = std::max(rate, 0.5 * route.limit);
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
     if (is_cold(route)) rate = std::min(rate, cold_pace(route, std::max(0.0, now_ - route.cold_since)));
-    else if (route.refused_in_row > 1) rate = std::min(rate, cold_pace(route, 0));
+    else if (route.refused_in_row > 1 && route.paced_at - route.failing_since > longest_span)
+      rate = std::min(rate, cold_pace(route, 0));
     return rate;
   }
 
@@ -815,8 +821,7 @@
   std::deque<DocType> types_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
-  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never,
-         cap_met_at_ = -never;
+  Millis now_ = 0, due_ = 0, leave_at_ = never, forgot_at_ = 0, longest_life_ = 0, idle_limit_ = never;
   std::uint64_t taken_ = 0, call_number_ = 0;
   int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0,
       freed_ = 0;            // freed: called off, outcome awaited
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -55,6 +55,7 @@
   bool value_halves = false;     // each further agreed time; else evenly down to the expiry
   bool limits_listed = false;
   Millis tick = 0;
+  Millis connect_within = 0;  // a connection not up by then fails
   double fall_multiple = 1;
   double start_capacity = 1;
   Millis warm_within = 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -111,6 +111,7 @@
   auto weights = pairs.text("weightKind");
   settings.limits_listed = weights == "nominal" || weights == "rough";
   settings.tick = pairs.time("tickUs");
+  settings.connect_within = pairs.time("limits.dialTimeoutUs");
   settings.fall_multiple = pairs.number("rules.fallMultiple", 1);
   settings.start_capacity = pairs.number("rules.startCapacity", 1);
   settings.warm_within = pairs.time("rules.warmWithinUs");
