Keep idle connections while a handful of calls take to come; more valuable documents first

By the probe, most time was spent behind a document of the same key (lanes), so what stands at a lane's head holds up more than itself.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -324,14 +324,14 @@
             if (!docs_.count(id)) doc = nullptr;
           }
     }
-    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. One of
-    // many closes what would lie idle for longer than it is in use, where some fail what is hardly used again,
-    // as is all to one not open; at a cap, what lies unused.
+    // Endpoints take only so many connections, idle ones counted; who keeps one never meets the cap. So all
+    // relays together keep no more than any endpoint takes, and none to one not open; at a cap, what lies
+    // unused is closed.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      double least = set_.relays > handful ? 500 : unconnected_.read(now_) > 0.3 ? 100 : 0;  // ms a second
-      bool rare = e.route->calls.per_second(now_) * usual(*e.route) < least;
-      if (e.calls_out == 0 && (rare || !e.open())) done_.closed.push_back({id});
+      bool idle = e.calls_out == 0 && e.idle_since < never;
+      if (idle && (!e.open() || now_ + 500 >= e.idle_since + linger(e)))
+        done_.closed.push_back({id}), e.idle_since = never;
       else if (now_ < e.cap_met_at + cap_counts) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
@@ -347,7 +347,7 @@
     bool (Decider::*when)(Subject&);
     void (Decider::*then)(Subject&);
   };
-  using Grade = std::tuple<int, double, std::uint64_t>;
+  using Grade = std::tuple<int, double, double, std::uint64_t>;
 
   static constexpr Millis stall = 1000, longest_span = 2500, cap_counts = 30000;
   static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
@@ -515,7 +515,7 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
-      if (now_ < e.cap_met_at + cap_counts) used_.insert(id);
+      if (now_ < e.cap_met_at + cap_counts || now_ + 500 >= e.idle_since + linger(e)) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
       for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
@@ -564,6 +564,14 @@
     return std::max(1, static_cast<int>(slot_share * set_.slots) / (sick(route) ? 2 : 1));
   }
 
+  // How long an idle connection is kept: by many relays for as long as a handful of calls take to come there.
+  Millis linger(const Endpoint& e) {
+    Route& route = *e.route;
+    double own = route.calls.per_second(now_);
+    if (set_.relays <= handful) return unconnected_.read(now_) > 0.3 && own * usual(route) < 100 ? 0 : never;
+    return 1000 * handful / std::max(0.1, route.limit > 0 ? route.limit : own * set_.relays);
+  }
+
   // The usual time of a call: the route's own, leaning on that of all routes while it has few.
   Millis usual(Route& route) {
     double n = timed_.read(now_);
@@ -682,11 +690,14 @@
 
   // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
   Grade urgency(const Doc& doc) {
-    if (doc.over_share) return {3, doc.expiry, doc.turn_taken};
+    // An ordered document holds up those of its key behind it.
+    double value = -doc.type->value * (doc.ordered ? static_cast<double>(lanes_[doc.key].waiting.size()) : 1);
+    if (doc.over_share) return {3, value, doc.expiry, doc.turn_taken};
     double late = (now_ + doc.to->lead - doc.agreed_by) / doc.type->agreed_time;
-    if (late <= 0) return {0, doc.agreed_by, doc.turn_taken};
-    if (set_.value_halves && std::exp2(-late) <= doc.type->late_value) return {2, doc.expiry, doc.turn_taken};
-    return {1, -doc.agreed_by, doc.turn_taken};
+    if (late <= 0) return {0, value, doc.agreed_by, doc.turn_taken};
+    bool lost = set_.value_halves && std::exp2(-late) <= doc.type->late_value;
+    if (lost) return {2, value, doc.expiry, doc.turn_taken};
+    return {1, value, -doc.agreed_by, doc.turn_taken};
   }
 
   // Five failures in a row, counted over all relays: one that calls seldom would not see five before the
@@ -797,6 +808,9 @@
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
       doc.to->wanted = true;
     }
+    for (auto& [id, e] : endpoints_)
+      if (e.idle_since < never && set_.relays > handful)
+        wake_at(std::max(forgot_at_ + trial_pause, e.idle_since + linger(e) - 500));
     for (auto& [id, to] : destinations_) {
       if (!std::exchange(to.wanted, false)) continue;
       for (Endpoint* e : to.ranked)
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -28,6 +28,7 @@
 struct DocType {
   Millis agreed_time = 0;
   Millis lifetime = 0;
+  double value = 1;  // in its agreed time
   double late_value = 0;
   Repeat repeat = Repeat::binding;
   KeyGroup key_group = KeyGroup::everywhere;
@@ -35,7 +36,7 @@
   bool in_order = false;
   bool operator==(const DocType&) const = default;
   auto fields() {
-    return std::tie(agreed_time, lifetime, late_value, repeat, key_group, key_window, in_order);
+    return std::tie(agreed_time, lifetime, value, late_value, repeat, key_group, key_window, in_order);
   }
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -122,6 +122,7 @@
     DocType type;
     type.agreed_time = pairs.time(path + "goalTimeUs");
     type.lifetime = pairs.time(path + "deadlineUs");
+    type.value = pairs.number(path + "worth", type.value);
     type.late_value = pairs.number(path + "lateWorth");
     auto repeat = pairs.text(path + "repeat");
     if (!repeat.empty()) type.repeat = one_of(repeats, repeat, "repeat");
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -75,7 +75,8 @@
   void relay(const Words& w) {
     set_.relays = int(number(w, "relays", 1)), set_.slots = int(number(w, "slots", 20));
     set_.room = int(number(w, "room", 0)), set_.max_transmissions = int(number(w, "tries", 12));
-    set_.tick = 5, set_.connect_within = number(w, "connect", 1500), set_.fall_multiple = number(w, "multiple", 2);
+    set_.connect_within = number(w, "connect", 1500);
+    set_.tick = 5, set_.fall_multiple = number(w, "multiple", 2);
     set_.start_capacity = number(w, "start", 0.2), set_.warm_within = number(w, "warm", 10000);
     set_.order_rest = number(w, "rest", 0), set_.value_halves = number(w, "halves", 1) > 0;
     set_.limits_listed = number(w, "listed", 0) > 0, seed_ = std::uint64_t(number(w, "seed", 7));
@@ -84,6 +85,7 @@
   void type(const Words& w) {
     DocType t;
     t.agreed_time = number(w, "agreed", 2000), t.lifetime = number(w, "life", 20000);
+    t.value = number(w, "value", 1);
     t.late_value = 0.3, t.key_window = number(w, "window", 12000), t.in_order = number(w, "ordered", 0) > 0;
     auto repeat = w.count("repeat") ? w.at("repeat") : "replayable";
     t.repeat = repeat == "binding"    ? Repeat::binding
