--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -515,7 +515,8 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
-      if (now_ < e.cap_met_at + cap_counts || now_ + 500 >= e.idle_since + linger(e)) used_.insert(id);
+      bool long_idle = e.idle_since < now_ && now_ + 500 >= e.idle_since + linger(e);
+      if (long_idle || now_ < e.cap_met_at + cap_counts) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
       for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
@@ -808,9 +809,6 @@
       if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
       doc.to->wanted = true;
     }
-    for (auto& [id, e] : endpoints_)
-      if (e.idle_since < never && set_.relays > handful)
-        wake_at(std::max(forgot_at_ + trial_pause, e.idle_since + linger(e) - 500));
     for (auto& [id, to] : destinations_) {
       if (!std::exchange(to.wanted, false)) continue;
       for (Endpoint* e : to.ranked)
