Look only at destinations with documents and routes with failures in a turn, for CPU

At fault: decide's loop over all destinations (fading sums for each) and fails_in_row, which counted failures to open for routes that had none. No decision changes.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -292,6 +292,7 @@
   Decided decide() override {
     done_.idle_most = idle_breaks_.read(now_) > 1.2 ? idle_limit_ : never;
     for (auto& [id, to] : destinations_) {
+      if (to.docs == 0) continue;
       to.harmless = 0, to.told_until = never;
       to.lead = to.ranked.empty() ? 0 : usual(*to.ranked.front()->route);
       for (Endpoint* e : to.ranked)
@@ -714,7 +715,9 @@
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
 
-  bool fails_in_row(Route& r) { return r.mode == Mode::closed && r.failures_in_row >= to_open(r); }
+  bool fails_in_row(Route& r) {
+    return r.mode == Mode::closed && r.failures_in_row > 0 && r.failures_in_row >= to_open(r);
+  }
 
   // Rule 1: a final answer before the client's time is up.
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - margin(); }
