--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -51,7 +51,7 @@
 // The design's own values.
 constexpr Millis ladder_base = 500, trial_pause = 1000, slow_call = 3000;
 constexpr double ladder_jitter = 0.2, slot_share = 0.75, slow_share = 0.01;
-constexpr int failures_to_open = 5, follow_calls = 3, handful = 5;  // of connections, that any endpoint takes
+constexpr int failures_to_open = 5, follow_calls = 3;
 
 class Decider final : public Decision {
   // What is handed over as it is; settings, chance and what each turn finds anew is not.
@@ -330,9 +330,7 @@
     // unused is closed.
     for (EndpointId id : std::exchange(used_, {})) {
       Endpoint& e = endpoints_[id];
-      bool idle = e.calls_out == 0 && e.idle_since < never;
-      if (idle && (!e.open() || now_ + 500 >= e.idle_since + linger(e)))
-        done_.closed.push_back({id}), e.idle_since = never;
+      if (gives_up(e)) done_.closed.push_back({id}), e.idle_since = never;
       else if (now_ < e.cap_met_at + cap_counts) done_.closed.push_back({id, trial_pause});
     }
     if (now_ >= forgot_at_ + trial_pause) forget();
@@ -351,6 +349,7 @@
   using Grade = std::tuple<int, double, double, std::uint64_t>;
 
   static constexpr Millis stall = 1000, longest_span = 2500, cap_counts = 30000;
+  static constexpr int handful = 5;  // of connections, that any endpoint takes
   static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
@@ -516,8 +515,7 @@
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
-      bool long_idle = e.idle_since < now_ && now_ + 500 >= e.idle_since + linger(e);
-      if (long_idle || now_ < e.cap_met_at + cap_counts) used_.insert(id);
+      if (gives_up(e) || now_ < e.cap_met_at + cap_counts) used_.insert(id);
       if (e.calls_out > 0 || now_ < e.gone_at + longest_life_) continue;
       for (auto& [destination, to] : destinations_) std::erase(to.ranked, &e);
       --e.route->endpoints, done_.forgotten.push_back(id);
@@ -569,9 +567,15 @@
   // How long an idle connection is kept: by many relays for as long as a handful of calls take to come there.
   Millis linger(const Endpoint& e) {
     Route& route = *e.route;
-    double own = route.calls.per_second(now_);
-    if (set_.relays <= handful) return unconnected_.read(now_) > 0.3 && own * usual(route) < 100 ? 0 : never;
-    return 1000 * handful / std::max(0.1, route.limit > 0 ? route.limit : own * set_.relays);
+    auto own = [&] { return route.calls.per_second(now_); };
+    if (set_.relays <= handful)
+      return unconnected_.read(now_) > 0.3 && own() * usual(route) < 100 ? 0 : never;
+    return 1000 * handful / std::max(0.1, route.limit > 0 ? route.limit : own() * set_.relays);
+  }
+  // Whether its idle connections go: it is looked at once a pause, so half of one early.
+  bool gives_up(const Endpoint& e) {
+    if (e.calls_out > 0 || e.idle_since >= never) return false;
+    return !e.open() || now_ + trial_pause / 2 >= e.idle_since + linger(e);
   }
 
   // The usual time of a call: the route's own, leaning on that of all routes while it has few.
@@ -690,16 +694,18 @@
                     std::max(1500.0, std::max(doc.type->agreed_time, 6 * usual(route)) * route.patience));
   }
 
-  // What can still make its agreed time first, earliest first; then the freshest of the late; then the rest.
+  // What can still make its agreed time first, then the late, then the rest. In each the most valuable first;
+  // then the earliest, the freshest, the nearest to its expiry.
   Grade urgency(const Doc& doc) {
     // An ordered document holds up those of its key behind it.
-    double value = -doc.type->value * (doc.ordered ? static_cast<double>(lanes_[doc.key].waiting.size()) : 1);
-    if (doc.over_share) return {3, value, doc.expiry, doc.turn_taken};
+    double held_up = doc.ordered ? static_cast<double>(lanes_[doc.key].waiting.size()) : 1;
+    double value = -doc.type->value * held_up;
+    auto grade = [&](int stage, Millis by) { return Grade{stage, value, by, doc.turn_taken}; };
+    if (doc.over_share) return grade(3, doc.expiry);
     double late = (now_ + doc.to->lead - doc.agreed_by) / doc.type->agreed_time;
-    if (late <= 0) return {0, value, doc.agreed_by, doc.turn_taken};
+    if (late <= 0) return grade(0, doc.agreed_by);
     bool lost = set_.value_halves && std::exp2(-late) <= doc.type->late_value;
-    if (lost) return {2, value, doc.expiry, doc.turn_taken};
-    return {1, value, -doc.agreed_by, doc.turn_taken};
+    return lost ? grade(2, doc.expiry) : grade(1, -doc.agreed_by);
   }
 
   // Five failures in a row, counted over all relays: one that calls seldom would not see five before the
@@ -715,6 +721,7 @@
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
 
+  // Few routes have failed lately; only for those the sums behind to_open are read.
   bool fails_in_row(Route& r) {
     return r.mode == Mode::closed && r.failures_in_row > 0 && r.failures_in_row >= to_open(r);
   }
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -245,7 +245,6 @@
   config.kinds = numbered_names<KindId>(pairs.list("skus"));
   config.halls = numbered_names<HallId>(pairs.list("zones"));
   if (before) keep_numbers(*before, config);
-  config.connect_within = pairs.time("limits.dialTimeoutUs");
   config.idle_life = pairs.time("limits.keepaliveUs");
   if (auto known = json.find("known"); known != json.end() && known->is_object())
     config.known = config.to_list(*known);
--- a/src/relay/config.h
+++ b/src/relay/config.h
@@ -39,7 +39,7 @@
   std::unordered_map<std::string, TenantId> tenants;
   std::unordered_map<std::string, KindId> kinds;
   std::unordered_map<std::string, HallId> halls;
-  Millis connect_within = 0, idle_life = 0;
+  Millis idle_life = 0;
   ListAnswer known;
   std::set<std::string> keys;  // all that the file had to hold, as paths
   std::string numbering;       // alike where kinds and halls are numbered alike
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -53,7 +53,7 @@
       decision_(Decision::make(config_.settings, config_.seed)),
       clients_(loop_, config_.listen, config_.passed_socket,
                {config_.client_connections, config_.clients_at_rest}),
-      endpoints_(loop_, {config_.connect_within, config_.idle_life, config_.endpoint_connections}),
+      endpoints_(loop_, {config_.settings.connect_within, config_.idle_life, config_.endpoint_connections}),
       watch_(loop_, config_.discovery),
       notices_(loop_, config_.discovery),
       turn_due_(loop_, [this] { settle(); }),
@@ -470,7 +470,7 @@
     config_.discovery = fresh.discovery, config_.rest_sum = fresh.rest_sum;
     config_.settings = std::move(fresh.settings), config_.doc_types = std::move(fresh.doc_types);
     config_.tenants = std::move(fresh.tenants), config_.keys = std::move(fresh.keys);
-    endpoints_.retune(fresh.connect_within, fresh.idle_life);
+    endpoints_.retune(config_.settings.connect_within, fresh.idle_life);
     begin();
     decision_->retune(config_.settings);
   } catch (const std::exception& error) {
