Give a batch call up whole, at the time of its shortest message

The endpoint cannot be told that one message of a call is no longer waited for; the protocol knows only the end of the connection. Where the connection was still coming up, the request that was written later still held the message taken out.

Change: a call has one time-out, the shortest of its messages, which Request-Timeout tells too; call-offs end the call, as the module means them.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -15,11 +15,16 @@
 namespace rockcrank {
 namespace {
 
+// A call can only be given up whole, so it ends with the first message in it whose time is up.
+Millis call_time_out(const std::vector<Parcel>& parcels) {
+  Millis shortest = parcels.front().time_out;
+  for (const auto& parcel : parcels) shortest = std::min(shortest, parcel.time_out);
+  return std::max(0.0, shortest);
+}
+
 std::string request_of(const std::vector<Parcel>& parcels, const std::string& host) {
-  Millis longest = 0;
-  for (const auto& parcel : parcels) longest = std::max(longest, parcel.time_out);
   char time_out[32];
-  std::snprintf(time_out, sizeof time_out, "%.3f", longest / 1000);
+  std::snprintf(time_out, sizeof time_out, "%.3f", call_time_out(parcels) / 1000);
   std::string body, head;
   if (parcels.size() == 1) {
     head = "POST /v1/messages HTTP/1.1\r\nRequest-Id: " + std::string(parcels[0].id) + "\r\n";
@@ -71,8 +76,8 @@
 
 }  // namespace
 
-// One connection and the call on it. A document's own time-out takes it out of the call; the connection is
-// given up with the last one.
+// One connection and the call on it. A call is given up whole, with its connection: the endpoint cannot be
+// told that one of its messages is no longer waited for.
 class Endpoints::Line {
  public:
   Line(Endpoints& owner, EndpointId endpoint, const Address& address)
@@ -127,9 +132,9 @@
     sent_at_ = owner_.loop_.now();
     kept_ = idle_since_ > 0 && !coming_up() ? std::max(0.001, sent_at_ - idle_since_) : 0;
     tell(Ahead::used);
+    const Millis until = sent_at_ + call_time_out(parcels);
     for (const auto& parcel : parcels)
-      items_.push_back({parcel.doc, parcel.transmission, sent_at_ + std::max(0.0, parcel.time_out),
-                        std::string(parcel.id)});
+      items_.push_back({parcel.doc, parcel.transmission, until, std::string(parcel.id)});
     several_ = parcels.size() > 1;
     request_ = request_of(parcels, address_.host + ":" + std::to_string(address_.port));
     watch_time();
@@ -182,16 +187,6 @@
       timer_.set(idle_since_ + std::max(0.0, owner_.limits_.idle_life - (idle_since_ - sent_at_)));
   }
 
-  void take_out(DocId doc, int transmission, Ending ending) {
-    for (const auto& item : items_)
-      if (item.doc == doc && item.transmission == transmission) {
-        if (items_.size() == 1) return stop(ending);
-        end_one(item, {unwritten() ? Ending::not_sent : ending, false}, 0, {});
-        items_.erase(items_.begin() + (&item - items_.data()));
-        return watch_time();
-      }
-  }
-
  private:
   void hear() {
     ++owner_.connections_;
@@ -216,21 +211,16 @@
   }
 
   void watch_time() {
-    Millis next = 1e18;
-    for (const auto& item : items_) next = std::min(next, item.until);
-    if (!items_.empty()) timer_.set(next);
+    if (items_.empty()) return;
+    timer_.set(std::ranges::min_element(items_, {}, &Item::until)->until);
   }
 
   void due() {
     if (items_.empty()) return owner_.drop(*this);  // idle, or trailing, for long enough
     if (stream_.state() == Stream::State::connecting) return stop(Ending::not_connected);
-    auto now = owner_.loop_.now();
-    std::vector<std::pair<DocId, int>> late;
-    for (const auto& item : items_)
-      if (item.until <= now) late.emplace_back(item.doc, item.transmission);
-    bool all = late.size() == items_.size();
-    if (all) return stop(Ending::timed_out);
-    for (auto [doc, transmission] : late) take_out(doc, transmission, Ending::timed_out);
+    // Guards against a message reported as over while its call goes on: an endpoint may still run it, and
+    // would have the rest of the call answered for nobody.
+    stop(Ending::timed_out);
   }
 
   void end_one(const Item& item, Verdict verdict, Millis wait, const Hints& hints) {
@@ -443,7 +433,7 @@
 
 void Endpoints::call_off(DocId doc, int transmission) {
   auto found = under_way_.find({doc, transmission});
-  if (found != under_way_.end()) found->second->take_out(doc, transmission, Ending::called_off);
+  if (found != under_way_.end()) found->second->stop(Ending::called_off);
 }
 
 void Endpoints::go_on() {
