Leave each call for the list 2 s of the protocol's 6 s, whatever the one before it met

A change counts as told 6 s after discovery had it and could be reached, also after a failed, refused or given-up call. The pauses did not keep that: where discovery turns callers away, 40 relays or more drew them from 8, 16 and then 32 s; after silences, the third from 4 s behind a call given up after 3.5 s; and the first call of a process was spread over 5 s, with up to 2 s more for its answer.

The host now tells how long ago the failed call was asked, and the pause is drawn from no more than what is left of 6 s less 2 s for the next answer and 0.1 s for turns. Drawn from all of it, not cut off at it, as relays that failed together would come again together. The first spread ends there too.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -226,7 +226,7 @@
   auto scope = fields.word("scope");
   if (scope == "FAILED") {
     fields.text();
-    guarded(instance, [](Decision& d) { d.list_failed(false); });
+    guarded(instance, [](Decision& d) { d.list_failed(false, 0); });
     return;
   }
   if (scope != "INCREMENTAL" && scope != "FULL" && scope != "SAVED")
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -29,7 +29,7 @@
 using namespace state;
 
 // The design's own values.
-constexpr Millis ladder_base = 500, trial_pause = 1000, slow_call = 3000;
+constexpr Millis ladder_base = 500, trial_pause = 1000, slow_call = 3000, follow_within = 3900;
 constexpr double ladder_jitter = 0.2, slot_share = 0.75, slow_share = 0.01;
 constexpr int failures_to_open = 5, follow_calls = 3;
 
@@ -99,14 +99,15 @@
       endpoint.gone_at = endpoint.standing == Standing::gone ? std::min(endpoint.gone_at, now_) : never;
   }
 
-  // Guards against a herd: relays that ask again soon keep discovery at answers that come too late for them.
-  // The ladder begins with the time that all need one by one; an agent at hand, whose word counts, soon.
-  void list_failed(bool turned_away) override {
+  // Guards against a herd: who asks again soon keeps discovery at answers that come too late. The ladder has
+  // the time that all need one by one, but leaves of the protocol's 6 s what discovery may take, 2 s.
+  void list_failed(bool turned_away, Millis took) override {
     if (set_.list_at_hand && !turned_away) return void(follow_at_ = now_ + drawn(0, ladder_base));
-    Millis first = turned_away ? std::max(ladder_base, std::min(4000.0, list_spread())) : ladder_base;
-    follow_at_ = now_ + first / ladder_base * drawn(0, 2) * ladder(std::min(++list_failures_, 3));
+    Millis first = std::max(ladder_base, turned_away ? list_spread() : 0);
+    Millis pause = 2 * first / ladder_base * ladder(std::min(++list_failures_, 3));
+    follow_at_ = now_ + drawn(0, std::min(pause, std::max(ladder_base / 2, follow_within - took)));
   }
-  Millis list_spread() const { return set_.list_at_hand ? 0 : std::min(5000.0, 100.0 * set_.relays); }
+  Millis list_spread() const { return set_.list_at_hand ? 0 : std::min(follow_within, 100.0 * set_.relays); }
 
   void take(const Document& given) override {
     Doc& doc = docs_[given.id];
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -176,7 +176,8 @@
 
   virtual void begin(Millis now) = 0;
   virtual void list(const std::vector<EndpointEntry>& entries, bool whole) = 0;
-  virtual void list_failed(bool turned_away) = 0;  // following the list failed or ended
+  // Following the list failed or ended, so long after the last call for it; 0 where the host cannot tell.
+  virtual void list_failed(bool turned_away, Millis took) = 0;
   // New settings bind from now on; documents held keep the type and the allowance they were taken on with.
   virtual void retune(const Settings& settings) = 0;
   virtual DocTypeId number_of(const DocType& type) = 0;  // alike for like types, for as long as this lives
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -21,7 +21,8 @@
 void Asker::ask(std::string request, Millis within) {
   request_ = std::move(request);
   asking_ = true;
-  until_ = loop_.now() + within;
+  asked_at_ = loop_.now();
+  until_ = asked_at_ + within;
   kept_ = stream_ && stream_->state() == Stream::State::up;
   if (!kept_) return open();
   timer_.set(until_);
@@ -80,11 +81,11 @@
 }
 
 Watch::Watch(Loop& loop, const Address& agent) : asker_(loop, agent) {
-  asker_.on_failure = [this] { on_failure(false); };
+  asker_.on_failure = [this] { on_failure(false, asker_.took()); };
   asker_.on_answer = [this](const HttpAnswer& answer) {
     if (answer.status != 200 || !on_list(answer.body())) {
       log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
-      return on_failure(answer.status == 503);
+      return on_failure(answer.status == 503, asker_.took());
     }
     going_ = true;
     next();  // at once, or changes in between are lost to the watch
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -25,6 +25,7 @@
   void ask(std::string request, Millis within);
   void move_to(const Address& agent);  // what was asked of the old one is asked no more
   bool asking() const { return asking_; }
+  Millis took() const { return loop_.now() - asked_at_; }  // since the last request was asked
 
  private:
   void open();
@@ -37,7 +38,7 @@
   Timer timer_;
   std::unique_ptr<Stream> stream_;
   std::string request_;
-  Millis until_ = 0;
+  Millis asked_at_ = 0, until_ = 0;
   bool asking_ = false, kept_ = false;
 };
 
@@ -45,8 +46,8 @@
  public:
   Watch(Loop& loop, const Address& agent);
   std::function<bool(std::string_view body)> on_list;  // takes in an answer; false: it cannot be read
-  std::function<void(bool turned_away)> on_failure;
-  std::function<std::int64_t()> version;  // of the list held; negative: none
+  std::function<void(bool turned_away, Millis took)> on_failure;  // since its call was asked
+  std::function<std::int64_t()> version;                          // of the list held; negative: none
   // So long for each answer, also where nothing changes; given up when it is so late.
   void follow(Millis wait, Millis late);
   void move_to(const Address& agent);  // followed there at once, from the version held
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -77,10 +77,10 @@
     return decision_->may_begin(doc, transmission);
   };
   watch_.version = [this] { return list_version_; };
-  watch_.on_failure = [this](bool turned_away) {
+  watch_.on_failure = [this](bool turned_away, Millis took) {
     begin();
     ++list_failures_;
-    decision_->list_failed(turned_away);
+    decision_->list_failed(turned_away, took);
   };
   watch_.on_list = [this](std::string_view body) {
     try {
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -760,7 +760,7 @@
   }
   void begin(Millis) override {}
   void list(const std::vector<EndpointEntry>&, bool) override {}
-  void list_failed(bool) override {}
+  void list_failed(bool, Millis) override {}
   void retune(const Settings&) override {}
   DocTypeId number_of(const DocType&) override { return {}; }
   void take(const Document&) override {}
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -132,7 +132,7 @@
         if (words.count("repeat")) type.repeat = Repeat::binding;
       decision_->retune(fresh);
     } else if (verb == "unlisted") {
-      decision_->list_failed(false);
+      decision_->list_failed(of("turned_away") > 0, of("took"));
     } else if (verb == "list" || verb == "drain" || verb == "gone") {
       EndpointEntry e;
       e.endpoint = EndpointId(tag(plain.at(1))), e.destination = DestinationId(of("for", 1));
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -123,7 +123,7 @@
   };
   struct Peer {  // an accepted connection, or a client's
     std::string endpoint, in, out;
-    bool agent = false, client = false, ended = false, used = false, crowded = false;
+    bool agent = false, client = false, ended = false, used = false, crowded = false, deaf = false;
     std::int64_t watching = -1;
     double watch_ends = 0;
   };
@@ -255,6 +255,8 @@
 
   bool told(int fd, Peer& peer, const std::string& head, const std::string& body) {
     if (agent_silent_) return true;
+    if (head.rfind("GET /v1/servers?after=", 0) == 0) asked_after_ = std::stoll(head.substr(22));
+    if (peer.deaf) return true;
     bool lists = head.rfind("GET /v1/servers", 0) == 0;
     asked_ += lists, asked_whole_ += lists && head.find('?') > head.find('\r');
     if (lists && agent_busy_) {
@@ -286,11 +288,43 @@
   }
   void tell_list(int fd) {
     peers_.at(fd).watching = -1;
-    auto body = list().dump(1);
-    later_.emplace(
-        now(),
-        Later{fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-              false});
+    auto spoilt = std::exchange(spoil_next_, "");
+    auto body = spoilt_list(spoilt).dump(1);
+    if (spoilt == "cut") body.resize(body.size() / 2);
+    auto text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto sent = spoilt == "head"   ? text.size() - body.size()
+                : spoilt == "half" ? text.size() - body.size() / 2
+                                   : text.size();
+    later_.emplace(now(), Later{fd, text.substr(0, sent), false});
+    held_back_[fd] = text.substr(sent);
+    spoilt_ += !spoilt.empty();
+  }
+  Json spoilt_list(const std::string& how) const {
+    Json told = list();
+    if (how == "older") told["rev"] = revision_ - 2, told["all"] = false;
+    if (how == "older" || how == "empty") told["targets"] = Json::array();
+    if (how == "twice") {
+      auto after = told["targets"];
+      for (auto& target : told["targets"]) target["state"] = "Gone";
+      told["all"] = false;
+      told["targets"].insert(told["targets"].end(), after.begin(), after.end());
+    }
+    return told;
+  }
+  // What is left of answers that stopped midway, on connections that are still open.
+  void tell_rest() {
+    for (auto& [fd, rest] : std::exchange(held_back_, {}))
+      if (peers_.count(fd) && peers_[fd].agent) later_.emplace(now(), Later{fd, rest, false});
+  }
+  void deafen_agent() {
+    for (auto& [fd, peer] : peers_)
+      if (peer.agent) peer.deaf = true, peer.watching = -1;
+  }
+  void hang_up_agent() {
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+      auto at = peer++;
+      if (at->second.agent) drop(at->first);
+    }
   }
 
   bool called(int fd, Peer& peer, const std::string& head, const std::string& body) {
@@ -558,10 +592,16 @@
     } else if (verb == "agent" && plain.at(1) == "moves") {
       ::close(agent_);
       agent_ = listen_on(0);
-      for (auto peer = peers_.begin(); peer != peers_.end();) {
-        auto at = peer++;
-        if (at->second.agent) drop(at->first);
-      }
+      if (words.count("keep")) deafen_agent();
+      else hang_up_agent();
+    } else if (verb == "agent" && plain.at(1) == "deafens") {
+      deafen_agent();
+    } else if (verb == "agent" && plain.at(1) == "hangs_up") {
+      hang_up_agent();
+    } else if (verb == "agent" && plain.at(1) == "tells") {
+      spoil_next_ = plain.at(2);
+    } else if (verb == "agent" && plain.at(1) == "goes_on") {
+      tell_rest();
     } else if (verb == "agent" && plain.at(1) == "forgets") {
       for (auto& [fd, peer] : peers_) peer.watching = -1;
     } else if (verb == "agent") {
@@ -597,6 +637,8 @@
       elder();
     } else if (verb == "stall") {
       ::kill(pid_, SIGSTOP);
+    } else if (verb == "resume") {
+      ::kill(pid_, SIGCONT);
     } else if (verb == "old") {
       bool gone = plain.at(1) == "ends";
       if (plain.at(1) == "resumes") return void(::kill(old_, SIGCONT));
@@ -685,6 +727,8 @@
         return static_cast<std::size_t>(std::distance(open, end));
       };
     else if (what == "asked") count = [&] { return plain.size() > 2 ? asked_whole_ : asked_; };
+    else if (what == "told") count = [&] { return std::size_t(asked_after_ >= revision_); };
+    else if (what == "spoilt") count = [&] { return spoilt_; };
     else if (what == "batches") count = [&] { return batches_; };
     else if (what == "connections") count = [&] { return connections_[plain.at(2)]; };
     else if (what == "notices")
@@ -731,6 +775,10 @@
   std::int64_t revision_ = 1;
   Json known_;  // the list, as written into the last configuration
   bool agent_silent_ = false, agent_busy_ = false;
+  std::string spoil_next_;                // how the next list is spoilt
+  std::map<int, std::string> held_back_;  // the rest of an answer, by connection
+  std::int64_t asked_after_ = -1;         // the version that the relay last said it has
+  std::size_t spoilt_ = 0;
   StandIn* beside_ = nullptr;
   std::unique_ptr<StandIn> also_;
   std::size_t asked_ = 0, asked_whole_ = 0;
