Tell notices behind a silent connection again after 0.1 s, at once, on a new one

A notice has to be told within 300 ms after its message's time, and is often decided only at its expiry. On a kept connection to the agent that had fallen silent it was given up after 1 s and told again 0.4 to 0.6 s later: lost, with all that came behind it. A connection closed by the agent was opened anew at once already.

Excluded: the decision (it ends a message 10 ms before its time) and the store (the end is noted before).

The first wait is 0.1 s and the first repetition goes at once; each further wait is twice as long, up to the 1 s of before, so that an agent that is only slow is heard. A notice told twice does no harm.

--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -15,7 +15,8 @@
 
 constexpr std::size_t list_most = 4 << 20;
 constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
-constexpr Millis answer_within = 1000;        // the agent is on this machine and answers notices at once
+constexpr Millis answer_within = 1000;        // the agent is on this machine
+constexpr Millis notice_within = 100;         // it answers notices at once; doubled with each that is not
 }  // namespace
 
 void Asker::ask(std::string request, Millis within) {
@@ -129,7 +130,10 @@
   };
   asker_.on_failure = [this] {
     take_back();
-    again_.set(loop_.now() + pause_after(++failures_));
+    // Guards against notices lost behind a kept connection that has fallen silent, as one told at its
+    // document's expiry has 300 ms: all are told once more at once, on a new connection.
+    if (++failures_ == 1) return send();
+    again_.set(loop_.now() + pause_after(failures_ - 1));
   };
 }
 
@@ -165,7 +169,7 @@
   for (const auto& notice : under_way_) body += notice.line;
   asker_.ask("POST /reports HTTP/1.1\r\nHost: agent\r\nContent-Length: " + std::to_string(body.size()) +
                  "\r\n\r\n" + body,
-             answer_within);
+             std::min(answer_within, std::ldexp(notice_within, failures_)));
 }
 
 }  // namespace rockcrank
