--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -15,13 +15,15 @@
 
 constexpr std::size_t list_most = 4 << 20;
 constexpr std::size_t notices_at_once = 100;  // well under the 64 KiB that a body may hold
-constexpr Millis answer_within = 1000;        // the agent is on this machine and answers notices at once
+constexpr Millis answer_within = 1000;        // the agent is on this machine
+constexpr Millis notice_within = 100;         // it answers notices at once; doubled with each that is not
 }  // namespace
 
 void Asker::ask(std::string request, Millis within) {
   request_ = std::move(request);
   asking_ = true;
-  until_ = loop_.now() + within;
+  asked_at_ = loop_.now();
+  until_ = asked_at_ + within;
   kept_ = stream_ && stream_->state() == Stream::State::up;
   if (!kept_) return open();
   timer_.set(until_);
@@ -80,11 +82,11 @@
 }
 
 Watch::Watch(Loop& loop, const Address& agent) : asker_(loop, agent) {
-  asker_.on_failure = [this] { on_failure(false); };
+  asker_.on_failure = [this] { on_failure(false, asker_.took()); };
   asker_.on_answer = [this](const HttpAnswer& answer) {
     if (answer.status != 200 || !on_list(answer.body())) {
       log_line("watch: answer %d of %zu bytes is of no use", answer.status, answer.body().size());
-      return on_failure(answer.status == 503);
+      return on_failure(answer.status == 503, asker_.took());
     }
     going_ = true;
     next();  // at once, or changes in between are lost to the watch
@@ -128,7 +130,10 @@
   };
   asker_.on_failure = [this] {
     take_back();
-    again_.set(loop_.now() + pause_after(++failures_));
+    // Guards against notices lost behind a kept connection that has fallen silent, as one told at its
+    // document's expiry has 300 ms: all are told once more at once, on a new connection.
+    if (++failures_ == 1) return send();
+    again_.set(loop_.now() + pause_after(failures_ - 1));
   };
 }
 
@@ -164,7 +169,7 @@
   for (const auto& notice : under_way_) body += notice.line;
   asker_.ask("POST /reports HTTP/1.1\r\nHost: agent\r\nContent-Length: " + std::to_string(body.size()) +
                  "\r\n\r\n" + body,
-             answer_within);
+             std::min(answer_within, std::ldexp(notice_within, failures_)));
 }
 
 }  // namespace rockcrank
