Hold an ordered key until the platform has the end of its last message

Without a restart the two cross by chance.

Excluded: keys lost on the wire (traced, all there), the key's rest ("still had an attempt out": gone once the site names a rest).

Change: the module keeps an ordered key from its end on until the host reports the notice's answer (withdraw, on_told); an end noted before a restart and not told yet keeps its key too. In the simulator an end takes effect at once, so there nothing changes (ends_acknowledged).

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -1,7 +1,6 @@
-// All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn (begin,
-// list, take, outcome, withdraw, leave) and calls decide(), which goes through the ordered rules at the end
-// of this file until none fires and answers what to send, reject or abandon, and when to be called again at
-// the latest. docs/design.md says which parts are the design's and under which condition each departure acts.
+// All decisions of rockcrank. The interface is decision.h: a host reports what happened in a turn and calls
+// decide(), which goes through the ordered rules at the end of this file until none fires. docs/design.md
+// says which parts are the design's and under which condition each departure acts.
 #include "decision/decision.h"
 
 #include <deque>
@@ -110,6 +109,7 @@
   Millis list_spread() const { return set_.list_at_hand ? 0 : std::min(follow_within, 100.0 * set_.relays); }
 
   void take(const Document& given) override {
+    if (given.ended) return void(lanes_[given.key].untold.insert(given.id));
     Doc& doc = docs_[given.id];
     doc.destination = given.destination;
     doc.id = given.id, doc.to = &destinations_[given.destination], doc.expiry = now_ + given.left;
@@ -181,6 +181,7 @@
 
   void withdraw(DocId id) override {
     if (docs_.count(id)) close(docs_[id]);
+    for (auto& [key, lane] : lanes_) lane.untold.erase(id);
   }
 
   // Whatever is put back is cold: the route where it is the only one open, else the endpoint alone.
@@ -403,14 +404,13 @@
       return;
     }
     // At a connection cap some calls get in; a dead endpoint answers none. One that refuses a new
-    // connection's first call and ends it has met its cap too, maybe by those of other relays: no limit,
-    // outage or queue. One that refuses a call beside others, and tells of no limit or of room below it, has
-    // its queue full: a lower pace would leave it idle, its documents waiting, once that is worked off.
+    // connection's first call and ends it has met its cap too, maybe by those of other relays. One that
+    // refuses a call beside others, and tells of no limit or of room below it, has its queue full: a lower
+    // pace leaves it idle.
     bool full = got.ending == Ending::refused && got.wait <= 0 && got.hints.told &&
                 (got.hints.limit <= 0 || got.hints.left_share > room_left);
-    // Where connections are refused at once, the first that one of many relays does not get may be one that
-    // others hold: no more go there for a while. One that never comes up tells an outage, as does the second
-    // there, or after any failure on the route with no answer since; then the one let pass counts too.
+    // The first connection refused at once to one of many relays may be one that others hold. One that never
+    // comes up tells an outage, as does a second, or one after any failure; then the one let pass counts too.
     bool missed = got.ending == Ending::not_connected;
     bool beside = endpoint.calls_out > 1 && call.sent - endpoint.answered_at < 2000;
     bool passed = set_.relays > handful && route.cap_met_at > route.answered_at;
@@ -444,8 +444,7 @@
   }
 
   // Calls that break at one destination after another, each on a kept connection: something on the way drops
-  // connections, and a break tells nothing of its destination; one that is down fails to connect too. For a
-  // while connections idle for as long are closed before use; a new one costs.
+  // connections. For a while those idle for as long are closed before use; a new one costs.
   void broke_idle(const Route& route, Millis idle) {
     if (idle > 500) idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * idle);
     idle_breaks_.add(now_, 1), idle_broken_ = route.name;
@@ -521,8 +520,7 @@
     docs_.erase(doc.id);
   }
 
-  // Guards against a day without end: what nobody can ask for any more goes, once no document of its time can
-  // be left, and a route only when its waits and its cold return are over.
+  // Guards against a day without end: what nobody can ask for any more goes, a route after all that binds it.
   void forget() {
     forgot_at_ = now_;
     for (auto& [id, e] : endpoints_) {
@@ -561,7 +559,8 @@
   bool in_turn(const Doc& doc) {
     if (!doc.ordered) return true;
     const KeyLane& lane = lanes_[doc.key];
-    bool first = *lane.waiting.begin() == doc.turn_taken;
+    // Guards against a notice that crosses the next one's call: an end counts once the platform has it.
+    bool first = *lane.waiting.begin() == doc.turn_taken && lane.untold.empty();
     return first && (doc.tries > 0 || (lane.out == 0 && now_ >= lane.rests_until));
   }
 
@@ -745,6 +744,7 @@
     Millis wait = std::min(free_at(*doc.to) - now_, set_.reject_wait_max);  // told the client
     if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
+    if (doc.ordered && set_.ends_acknowledged) lanes_[doc.key].untold.insert(doc.id);
     close(doc);
   }
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -62,6 +62,7 @@
   double start_capacity = 1;
   Millis warm_within = 0;
   Millis order_rest = 0;
+  bool ends_acknowledged = false;  // an end is told by a call; its answer is reported by withdraw()
   Millis reject_wait_max = 0;      // 0: clients are told no time to come back
   std::vector<DocType> doc_types;  // numbered from 0 in this order at the start
   std::vector<Kind> kinds;
@@ -93,6 +94,7 @@
   bool may_have_run = false;  // one was out, or ended without proof that it never ran
   Millis risked_ago = 0;      // since the first such was sent
   HallId risked_hall{};
+  bool ended = false;  // its end is decided, and the platform has not acknowledged it yet
 };
 
 enum class Ending { answered, error, refused, timed_out, not_connected, broken, called_off, not_sent };
@@ -183,6 +185,7 @@
   virtual DocTypeId number_of(const DocType& type) = 0;  // alike for like types, for as long as this lives
   virtual void take(const Document& document) = 0;
   virtual void outcome(const Outcome& outcome) = 0;
+  // Nothing more is owed for it here: another has it, or the end that this module gave it is acknowledged.
   virtual void withdraw(DocId doc) = 0;
   // Taken out by staff until put back, whatever the list says meanwhile; one that is put back is cold.
   virtual void set_out(EndpointId endpoint, bool out) = 0;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -170,10 +170,13 @@
 // Documents of one key, in the order taken; the key rests after an outcome that leaves the effect unknown.
 struct KeyLane {
   std::set<std::uint64_t> waiting;
+  std::set<DocId> untold;  // ended, but not over for the platform yet
   int out = 0;
   Millis rests_until = -never;
-  auto fields() { return std::tie(waiting, out, rests_until); }
-  bool is_over(Millis now) const { return waiting.empty() && out == 0 && now >= rests_until; }
+  auto fields() { return std::tie(waiting, untold, out, rests_until); }
+  bool is_over(Millis now) const {
+    return waiting.empty() && untold.empty() && out == 0 && now >= rests_until;
+  }
 };
 
 // A fixed order of endpoints, as if by chance.
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -238,7 +238,8 @@
   config.settings = decode_settings(pairs);
   // No more calls can be out than there are sockets for them.
   config.settings.slots = std::min(config.settings.slots, static_cast<int>(config.endpoint_connections));
-  config.settings.list_on_request = true;  // on sockets the list changes only for those who watch it
+  config.settings.ends_acknowledged = true;  // a notice is a call to the agent
+  config.settings.list_on_request = true;    // on sockets the list changes only for those who watch it
   auto names = [&](const std::string& list) {
     std::vector<std::string_view> found;
     for (int i = 0; i < pairs.count(list + ".count"); ++i)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -96,6 +96,7 @@
   notices_.on_told = [this](DocId doc) {
     store_.forget(doc);
     begin();
+    decision_->withdraw(doc);
   };
   notices_.pause_after = [this](int failures) { return decision_->pause_after(failures); };
   if (baggage) take_over(state, *baggage);
@@ -195,8 +196,12 @@
     if (type == config_.doc_types.end()) return end(doc, false, 0);
     held.type = type->second, held.most = config_.settings.max_transmissions;
   }
-  if (held.ended) notices_.tell(doc, held.id, held.rejected, held.reject_wait);
-  else decision_->take(to_document(held, doc, Loop::wall()));
+  if (!held.ended) return decision_->take(to_document(held, doc, Loop::wall()));
+  if (Document ended = to_document(held, doc, Loop::wall()); held.type.in_order && ended.has_key) {
+    ended.ended = true;
+    decision_->take(ended);
+  }
+  notices_.tell(doc, held.id, held.rejected, held.reject_wait);
 }
 
 // Documents of a process that has ended without handing over, as after a restart.
@@ -378,6 +383,7 @@
     auto to = fresh->answer_to;
     arrived_.erase(fresh);
     store_.forget(doc);
+    decision_->withdraw(doc);
     return clients_.answer(to, rejected ? busy(wait) : "-ERR cannot be transmitted\r\n");
   }
   store_.ended(doc, rejected, wait);
