--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -132,6 +132,10 @@
     std::string bytes;
     bool close;
   };
+  struct HeldAnswer {  // to a call, until the scenario lets it go
+    std::string endpoint;
+    Later answer;
+  };
 
   static double now() {
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
@@ -211,9 +215,9 @@
     char bytes[65536];
     auto count = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     if (count <= 0) {
-      if (peer.client) peer.ended = true;
-      else drop(fd);
-      return;
+      if (peer.client) return void(peer.ended = true);
+      ++closed_by_relay_[peer.endpoint];
+      return drop(fd);
     }
     peer.in.append(bytes, static_cast<std::size_t>(count));
     if (!peer.client) serve(fd, peer);
@@ -237,6 +241,9 @@
     if (reset) setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     ::close(fd);
     peers_.erase(fd);
+    // Guards against an answer that is written on the next connection, which may get the same descriptor.
+    std::erase_if(later_, [&](const auto& due) { return due.second.fd == fd; });
+    std::erase_if(held_answers_, [&](const auto& held) { return held.answer.fd == fd; });
   }
 
   void serve(int fd, Peer& peer) {
@@ -363,6 +370,10 @@
       answer += "Content-Length: " + std::to_string(said.size()) + "\r\n\r\n" + said;
     }
     bool close = endpoint.how.count("close") > 0;
+    if (endpoint.how.count("held")) {
+      held_answers_.push_back({peer.endpoint, {fd, answer, close}});
+      return true;
+    }
     if (number(endpoint.how, "piecewise", 0) > 0)
       for (std::size_t i = 0; i < answer.size(); ++i)
         later_.emplace(after + 2 * double(i),
@@ -371,6 +382,16 @@
     return true;
   }
 
+  // The answers that an endpoint has held go out, or the connections on which they are awaited are reset.
+  void release(const std::string& endpoint, bool reset) {
+    for (const auto& held : std::vector<HeldAnswer>(held_answers_)) {
+      if (held.endpoint != endpoint) continue;
+      if (reset) drop(held.answer.fd, true);
+      else later_.emplace(now(), held.answer);
+    }
+    std::erase_if(held_answers_, [&](const auto& held) { return held.endpoint == endpoint; });
+  }
+
   // Connections of nobody, until no further one comes up.
   void fill_queue(const Endpoint& endpoint) {
     listen(endpoint.listener, 0);
@@ -606,6 +627,8 @@
       for (auto& [fd, peer] : peers_) peer.watching = -1;
     } else if (verb == "agent") {
       agent_silent_ = plain.at(1) == "silent", agent_busy_ = plain.at(1) == "busy";
+    } else if (verb == "release") {
+      release(plain.at(1), words.count("reset") > 0);
     } else if (verb == "reload") {
       write_config(words);
       end_process(SIGHUP);
@@ -636,7 +659,8 @@
     } else if (verb == "elder") {
       elder();
     } else if (verb == "stall") {
-      ::kill(pid_, SIGSTOP);
+      int stopped = 0;
+      ::kill(pid_, SIGSTOP), waitpid(pid_, &stopped, WUNTRACED);
     } else if (verb == "resume") {
       ::kill(pid_, SIGCONT);
     } else if (verb == "old") {
@@ -731,6 +755,7 @@
     else if (what == "spoilt") count = [&] { return spoilt_; };
     else if (what == "batches") count = [&] { return batches_; };
     else if (what == "connections") count = [&] { return connections_[plain.at(2)]; };
+    else if (what == "closed") count = [&] { return closed_by_relay_[plain.at(2)]; };
     else if (what == "notices")
       count = [&] {
         std::size_t found = 0;
@@ -787,6 +812,8 @@
   std::map<int, Peer> peers_;
   std::map<std::string, int> clients_;
   std::multimap<double, Later> later_;
+  std::vector<HeldAnswer> held_answers_;
+  std::map<std::string, std::size_t> closed_by_relay_;  // connections of endpoints
   std::vector<std::vector<std::string>> calls_;  // id, endpoint, the whole text
   std::map<std::string, std::size_t> connections_;
   std::map<std::string, std::vector<Json>> notices_;
