Count an answer that came before its call's time-out or call-off was carried out

A round of the loop runs descriptors before timers, but an answer that arrived after poll() returned and before the time-out of the same round fired, or the call-off of the same turn was carried out, was given up unread: Line::due() and Endpoints::call_off() stopped the call without looking. The message was sent again, or reported as failed, though it had been delivered. Both now read what has come first.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -174,6 +174,10 @@
     owner_.drop(*this);
   }
 
+  void call_off() {
+    if (!ended_by_what_came()) stop(Ending::called_off);
+  }
+
   void shut() { stream_.close(), timer_.clear(), connect_timer_.clear(); }
 
   void rested() {
@@ -215,9 +219,16 @@
     timer_.set(std::ranges::min_element(items_, {}, &Item::until)->until);
   }
 
+  // Guards against losing an answer, or a break, that came after this round's poll(): it was first.
+  bool ended_by_what_came() {
+    stream_.read_now();
+    return items_.empty();
+  }
+
   void due() {
     if (items_.empty()) return owner_.drop(*this);  // idle, or trailing, for long enough
     if (stream_.state() == Stream::State::connecting) return stop(Ending::not_connected);
+    if (ended_by_what_came()) return;
     // Guards against a message reported as over while its call goes on: an endpoint may still run it, and
     // would have the rest of the call answered for nobody.
     stop(Ending::timed_out);
@@ -433,7 +444,7 @@
 
 void Endpoints::call_off(DocId doc, int transmission) {
   auto found = under_way_.find({doc, transmission});
-  if (found != under_way_.end()) found->second->stop(Ending::called_off);
+  if (found != under_way_.end()) found->second->call_off();
 }
 
 void Endpoints::go_on() {
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -222,6 +222,10 @@
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void Stream::read_now() {
+  if (state_ == State::up && reading_) read_some();
+}
+
 void Stream::consume(std::size_t count) {
   consumed_ += count;
   // Guards against memory that idle connections keep: a buffer that has grown is given back once it is empty.
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -110,6 +110,7 @@
   bool lacks_descriptor() const { return lacks_descriptor_; }
   std::string_view received() const { return std::string_view(in_).substr(consumed_); }
   bool quiet() const;  // up, and nothing has come that was not read yet: no bytes, no end
+  void read_now();     // what has come by now, without waiting for the loop to find it
   void consume(std::size_t count);
   void send(std::string_view bytes);
   std::size_t unsent() const { return out_.size(); }
--- /dev/null
+++ b/tests/crossings/calls_test.cpp
@@ -0,0 +1,401 @@
+// Calls to endpoints in the moments in which two events cross. The calls run on real loopback connections and
+// on the relay's own loop; the endpoint is played from that loop's timers, so that a test says exactly when
+// it acts: also after poll() has returned and before the relay's own timer of the same round.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "relay/endpoints.h"
+#include "relay/loop.h"
+
+namespace rockcrank {
+namespace {
+
+constexpr EndpointId endpoint{1};
+constexpr Millis look_every = 1;        // for what the other side has done
+constexpr Millis give_up_after = 3000;  // a condition that never comes true fails the test
+constexpr int small_buffer = 4096;      // bytes that an endpoint takes without reading
+
+// An endpoint that does only what its test tells it.
+class PlayedEndpoint {
+ public:
+  explicit PlayedEndpoint(int receive_buffer = 0) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (receive_buffer > 0)
+      setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    EXPECT_EQ(listen(listener_, 16), 0);
+    socklen_t size = sizeof at;
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+    address = {"127.0.0.1", ntohs(at.sin_port)};
+  }
+  ~PlayedEndpoint() {
+    for (int fd : connections_)
+      if (fd >= 0) close(fd);
+    if (listener_ >= 0) close(listener_);
+  }
+  PlayedEndpoint(const PlayedEndpoint&) = delete;
+  PlayedEndpoint& operator=(const PlayedEndpoint&) = delete;
+
+  void stop_listening() { close(std::exchange(listener_, -1)); }
+
+  std::size_t connections() {
+    for (int fd = -1; (fd = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+      connections_.push_back(fd);
+      read_.emplace_back();
+    }
+    return connections_.size();
+  }
+  // All that has been written on a connection, numbered from 0 in the order in which they came up.
+  const std::string& request(std::size_t number) {
+    if (number >= connections()) return none_;
+    char piece[65536];
+    ssize_t count = 0;
+    while ((count = recv(connections_[number], piece, sizeof piece, MSG_DONTWAIT)) > 0)
+      read_[number].append(piece, static_cast<std::size_t>(count));
+    return read_[number];
+  }
+  // Whether so many whole requests have come on a connection.
+  bool has_request(std::size_t number, std::size_t count = 1) {
+    const std::string& text = request(number);
+    std::size_t at = 0;
+    for (std::size_t found = 0; found < count; ++found) {
+      const auto head = text.find("\r\n\r\n", at), length = text.find(length_header, at);
+      if (head == std::string::npos) return false;
+      at = head + 4 + std::stoul(text.substr(length + length_header.size()));
+    }
+    return text.size() >= at;
+  }
+  bool has_unread_bytes(std::size_t number) {
+    int waiting = 0;
+    return number < connections() && ioctl(connections_[number], FIONREAD, &waiting) == 0 && waiting > 0;
+  }
+  bool is_ended(std::size_t number) {
+    char byte = 0;
+    auto count = recv(connections_.at(number), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN);
+  }
+  void answer(std::size_t number, const std::string& bytes) {
+    EXPECT_EQ(send(connections_.at(number), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  void finish(std::size_t number) { shutdown(connections_.at(number), SHUT_WR); }
+  void reset(std::size_t number) {
+    linger hard{1, 0};
+    setsockopt(connections_.at(number), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    close(std::exchange(connections_.at(number), -1));
+  }
+
+  Address address;
+
+ private:
+  int listener_ = -1;
+  std::vector<int> connections_;
+  std::vector<std::string> read_;
+  const std::string none_;
+  const std::string length_header = "Content-Length: ";
+};
+
+const std::string answered = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+class Calls : public testing::Test {
+ protected:
+  explicit Calls(int receive_buffer = 0) : played_(receive_buffer), endpoints_(loop_, {1500, 10000, 50}) {
+    endpoints_.locate(endpoint, played_.address);
+    endpoints_.idle_most = 1e9;
+    endpoints_.on_outcome = [this](const Outcome& outcome) { outcomes_.push_back(outcome); };
+    endpoints_.on_connecting = [](DocId, int) {};
+    endpoints_.may_begin = [this](DocId, int) { return ++asked_, may_begin_; };
+  }
+
+  // Messages by their numbers, with their time-outs; several go in one call.
+  void call(const std::vector<std::pair<int, Millis>>& messages, const std::string& body = "hello") {
+    std::vector<Parcel> parcels;
+    for (auto [number, time_out] : messages)
+      parcels.push_back({DocId(number), 0, time_out, ids_.at(static_cast<std::size_t>(number)), "", body});
+    endpoints_.call(endpoint, parcels);
+  }
+
+  // Goes on until the condition holds.
+  void run_until(const std::function<bool()>& holds) {
+    const Millis end = Loop::monotonic() + give_up_after;
+    bool held = false;
+    std::unique_ptr<Timer> look;
+    look = std::make_unique<Timer>(loop_, [&] {
+      held = holds();
+      if (held || Loop::monotonic() > end) return loop_.stop();
+      look->set(loop_.now() + look_every);
+    });
+    look->set(loop_.now());
+    loop_.run();
+    EXPECT_TRUE(held) << "what the test waits for did not come";
+  }
+
+  // Has the act done in the round in which this moment's timers are due, after that round's poll() and before
+  // the timers: the loop is kept busy until the moment is past, so that one round finds the act and the
+  // timers due.
+  void run_past(Millis moment, const std::function<void()>& act) {
+    Timer busy(loop_, [&] {
+      while (Loop::monotonic() < moment + 5) {}
+    });
+    Timer first(loop_, act);
+    Timer end(loop_, [&] { loop_.stop(); });
+    busy.set(moment - 5);
+    first.set(moment - 1);
+    end.set(moment + 1);
+    loop_.run();
+  }
+
+  void wait_for_request(std::size_t connection) {
+    run_until([&] { return played_.has_request(connection); });
+  }
+  // A connection that has had a call and lies idle.
+  void leave_one_idle() {
+    call({{1, 1000}});
+    wait_for_request(0);
+    played_.answer(0, answered);
+    run_until([&] { return outcomes_.size() == 1 && endpoints_.none_out(); });
+    outcomes_.clear();
+  }
+  std::vector<Ending> endings() const {
+    std::vector<Ending> all;
+    for (const auto& outcome : outcomes_) all.push_back(outcome.ending);
+    return all;
+  }
+
+  const std::vector<std::string> ids_{"id0", "id1", "id2", "id3"};
+  Loop loop_;
+  PlayedEndpoint played_;
+  Endpoints endpoints_;
+  MayBegin may_begin_ = MayBegin::now;
+  int asked_ = 0;  // whether a call may begin
+  std::vector<Outcome> outcomes_;
+};
+
+// Takes no more than a few kilobytes of a request.
+class SlowlyRead : public Calls {
+ protected:
+  SlowlyRead() : Calls(small_buffer) {}
+};
+
+using Endings = std::vector<Ending>;
+
+std::string answer_of(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// An answer that came after poll() returned and before the call's time-out, in one round, counts.
+TEST_F(Calls, AnswerInTheRoundOfItsTimeOut) {
+  call({{1, 100}});
+  const Millis time_out = loop_.now() + 100;
+  wait_for_request(0);
+  run_past(time_out, [&] { played_.answer(0, answered); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+  EXPECT_FALSE(played_.is_ended(0));
+}
+
+TEST_F(Calls, AnswerInTheRoundOfItsTimeOutForEachOfABundle) {
+  call({{1, 100}, {2, 1000}});
+  const Millis time_out = loop_.now() + 100;
+  wait_for_request(0);
+  run_past(time_out, [&] {
+    played_.answer(0, answer_of(R"([{"id":"id1","state":"later"},{"id":"id2","state":"ok"}])"));
+  });
+  EXPECT_EQ(endings(), (Endings{Ending::refused, Ending::answered}));
+}
+
+// Half an answer is none: the call is given up as late.
+TEST_F(Calls, HalfAnAnswerInTheRoundOfItsTimeOut) {
+  call({{1, 100}, {2, 1000}});
+  const Millis time_out = loop_.now() + 100;
+  wait_for_request(0);
+  run_past(time_out, [&] { played_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[{"); });
+  EXPECT_EQ(endings(), (Endings{Ending::timed_out, Ending::timed_out}));
+  EXPECT_TRUE(played_.is_ended(0));
+}
+
+// A reset that came in the round of the time-out is one that came after the last byte.
+TEST_F(Calls, ResetInTheRoundOfItsTimeOut) {
+  call({{1, 100}});
+  const Millis time_out = loop_.now() + 100;
+  wait_for_request(0);
+  run_past(time_out, [&] { played_.reset(0); });
+  EXPECT_EQ(endings(), Endings{Ending::broken});
+}
+
+TEST_F(Calls, AnswerInTheRoundOfItsCallOff) {
+  call({{1, 1000}});
+  wait_for_request(0);
+  played_.answer(0, answered);
+  endpoints_.call_off(DocId(1), 0);
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+}
+
+TEST_F(Calls, CallOffBeforeTheAnswer) {
+  call({{1, 1000}, {2, 1000}});
+  wait_for_request(0);
+  endpoints_.call_off(DocId(1), 0);
+  EXPECT_EQ(endings(), (Endings{Ending::called_off, Ending::called_off}));
+  EXPECT_TRUE(played_.is_ended(0));
+  EXPECT_TRUE(endpoints_.none_out());
+}
+
+// A bundle is given up whole at the shortest time in it, and only then.
+TEST_F(Calls, ABundleEndsWithItsShortestTime) {
+  const Millis begun = loop_.now();
+  call({{1, 1000}, {2, 150}, {3, 1000}});
+  wait_for_request(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(3, Ending::timed_out));
+  EXPECT_GE(loop_.now(), begun + 150);
+  EXPECT_LT(loop_.now(), begun + 1000);
+  EXPECT_TRUE(played_.is_ended(0));
+  EXPECT_NE(played_.request(0).find("Request-Timeout: 0.150"), std::string::npos);
+}
+
+// So is one that waits for a slot: no request written later has the message whose time was up.
+TEST_F(Calls, ABundleToldToBeginLaterEndsWithItsShortestTime) {
+  may_begin_ = MayBegin::later;
+  call({{1, 1000}, {2, 100}});
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::not_sent));
+  may_begin_ = MayBegin::now;
+  endpoints_.go_on();
+  EXPECT_EQ(played_.request(0), "");
+  EXPECT_TRUE(played_.is_ended(0));
+}
+
+// A told wait that begins while the connection comes up keeps the call back.
+TEST_F(Calls, ToldWaitWhileTheConnectionComesUp) {
+  call({{1, 1000}, {2, 1000}});
+  may_begin_ = MayBegin::never;
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::not_sent));
+  EXPECT_EQ(played_.request(0), "");
+}
+
+// Bytes, or an end, on an idle connection just before its next use, not seen by the loop yet.
+TEST_F(Calls, BytesOnAnIdleConnectionBeforeItsUse) {
+  leave_one_idle();
+  played_.answer(0, "HTTP/1.1 2");
+  call({{2, 1000}});
+  wait_for_request(1);
+  played_.answer(1, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+  EXPECT_FALSE(played_.has_request(0, 2));
+}
+
+TEST_F(Calls, ResetOfAnIdleConnectionBeforeItsUse) {
+  leave_one_idle();
+  played_.reset(0);
+  call({{2, 1000}});
+  wait_for_request(1);
+  played_.answer(1, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+}
+
+// The same after its use: what was sent may have run.
+TEST_F(Calls, ResetOfAnIdleConnectionRightAfterItsUse) {
+  leave_one_idle();
+  call({{2, 1000}, {3, 1000}});
+  played_.reset(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::broken));
+  EXPECT_GT(outcomes_[0].kept, 0);
+}
+
+// Before a request: nobody listens.
+TEST_F(Calls, RefusedConnection) {
+  played_.stop_listening();
+  call({{1, 1000}, {2, 1000}});
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::not_connected));
+}
+
+// Within a request: its last byte is not written yet, so neither it nor any message in it has run.
+TEST_F(SlowlyRead, ResetWithinARequest) {
+  // More than any socket's buffer takes, however the system grows them.
+  call({{1, 1000}, {2, 1000}, {3, 1000}}, std::string(8 << 20, 'x'));
+  run_until([&] { return played_.has_unread_bytes(0); });
+  played_.reset(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(3, Ending::not_connected));
+}
+
+// Long after a request.
+TEST_F(Calls, ResetLongAfterARequest) {
+  call({{1, 1000}, {2, 1000}});
+  wait_for_request(0);
+  const Millis later = loop_.now() + 200;
+  run_until([&] { return loop_.now() >= later; });
+  EXPECT_TRUE(outcomes_.empty());
+  played_.reset(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::broken));
+}
+
+// An answer that never ends: a single 200 is true at once and the connection goes after a while; a bundle's
+// tells nothing until its time is up.
+TEST_F(Calls, AnswerThatNeverEnds) {
+  call({{1, 1000}});
+  wait_for_request(0);
+  played_.answer(0, "HTTP/1.1 200 OK\r\nX-Noise: ");
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+  EXPECT_FALSE(played_.is_ended(0));
+  run_until([&] { return played_.is_ended(0); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+}
+
+TEST_F(Calls, AnswerToABundleThatNeverEnds) {
+  call({{1, 200}, {2, 1000}});
+  wait_for_request(0);
+  played_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{\"id\":\"id1\",\"state\":\"ok\"}");
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::timed_out));
+}
+
+// A broken answer, or an end within one: a bundle learns nothing of it, whatever its first line says.
+TEST_F(Calls, EndWithinAnAnswer) {
+  call({{1, 1000}});
+  wait_for_request(0);
+  played_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  played_.reset(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+}
+
+TEST_F(Calls, EndWithinAnAnswerToABundle) {
+  call({{1, 1000}, {2, 1000}});
+  wait_for_request(0);
+  played_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{\"id\":\"id1\",\"state\":\"ok\"}");
+  played_.finish(0);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::broken));
+}
+
+TEST_F(Calls, UnreadableAnswerToABundle) {
+  call({{1, 1000}, {2, 1000}});
+  wait_for_request(0);
+  played_.answer(0, answer_of(R"([{"id":"id1","state":"ok"},{"id":"id2")"));
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::error));
+}
+
+}  // namespace
+}  // namespace rockcrank
