Write no call after its time, or after one of its messages has been reported over

A connection that came up in the round in which its call's time was over was written on before the time-out fired, and a call counts its time from the moment it is carried out, up to a tick after the module counted it: within that tick a message could be reported over and written then. Line::go_on() asked the module only of the first message, and the module says nothing of messages that have ended. It now looks at the call's time and, for each message, whether the store says that it is over.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -157,6 +157,10 @@
   // the slots been taken, which is no fault of the endpoint's.
   void go_on() {
     if (request_.empty()) return;
+    // Guards against a call written after its time, or after one of its messages has been reported as over.
+    if (owner_.loop_.now() >= items_[0].until) return stop(Ending::not_connected);
+    if (std::ranges::any_of(items_, [&](const Item& item) { return owner_.is_over(item.doc); }))
+      return stop(Ending::not_sent);
     auto may = owner_.may_begin(items_[0].doc, items_[0].transmission);
     held_ = may == MayBegin::later;
     if (held_) owner_.ready_.emplace_back(items_[0].doc, items_[0].transmission);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -66,6 +66,7 @@
   std::function<void(const Outcome&)> on_outcome;
   std::function<void(DocId, int)> on_connecting;
   std::function<MayBegin(DocId, int)> may_begin;
+  std::function<bool(DocId)> is_over;  // has its end, told or owed
   Millis idle_most = 0;  // set before each turn's calls: a connection idle for longer is not used again
 
   void retune(Millis connect_within, Millis idle_life);  // of connections opened, or idle, from now on
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -76,6 +76,10 @@
     if (!owns(doc)) return MayBegin::later;
     return decision_->may_begin(doc, transmission);
   };
+  endpoints_.is_over = [this](DocId doc) {
+    auto found = store_.held().find(doc);
+    return found == store_.held().end() || found->second.ended;
+  };
   watch_.version = [this] { return list_version_; };
   watch_.on_failure = [this](bool turned_away, Millis took) {
     begin();
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,7 @@
     endpoints_.on_outcome = [this](const Outcome& outcome) { outcomes_.push_back(outcome); };
     endpoints_.on_connecting = [](DocId, int) {};
     endpoints_.may_begin = [this](DocId, int) { return ++asked_, may_begin_; };
+    endpoints_.is_over = [this](DocId doc) { return over_.count(doc) > 0; };
   }
 
   // Messages by their numbers, with their time-outs; several go in one call.
@@ -182,6 +184,7 @@
   Endpoints endpoints_;
   MayBegin may_begin_ = MayBegin::now;
   int asked_ = 0;  // whether a call may begin
+  std::set<DocId> over_;
   std::vector<Outcome> outcomes_;
 };
 
@@ -278,6 +281,39 @@
   EXPECT_TRUE(played_.is_ended(0));
 }
 
+// A connection that has come up in the round in which its call's time is over is not written on.
+TEST_F(Calls, ConnectionUpInTheRoundOfItsTimeOut) {
+  call({{1, 1}, {2, 1000}});
+  while (Loop::monotonic() < loop_.now() + 10) {}
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::not_connected));
+  EXPECT_EQ(played_.request(0), "");
+  EXPECT_TRUE(played_.is_ended(0));
+}
+
+// Nor is one on which a message would go that has ended meanwhile, first or not; the others are free to go
+// again.
+TEST_F(Calls, ConnectionUpAfterOneOfItsMessagesHasEnded) {
+  call({{1, 1000}, {2, 1000}});
+  over_.insert(DocId(2));
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings(2, Ending::not_sent));
+  EXPECT_EQ(played_.request(0), "");
+}
+
+// So it is with a call that was told to begin later.
+TEST_F(Calls, CallToldToBeginLaterAfterOneOfItsMessagesHasEnded) {
+  may_begin_ = MayBegin::later;
+  call({{1, 1000}, {2, 1000}});
+  run_until([&] { return asked_ > 0; });
+  EXPECT_TRUE(outcomes_.empty());
+  may_begin_ = MayBegin::now;
+  over_.insert(DocId(2));
+  endpoints_.go_on();
+  EXPECT_EQ(endings(), Endings(2, Ending::not_sent));
+  EXPECT_EQ(played_.request(0), "");
+}
+
 // A told wait that begins while the connection comes up keeps the call back.
 TEST_F(Calls, ToldWaitWhileTheConnectionComesUp) {
   call({{1, 1000}, {2, 1000}});
