Do not use a connection again that leads to where its endpoint was before it moved

Endpoints::locate() closes the idle connections of an endpoint whose address in the list has changed, but one with a call out came to rest after that and was used for the next call, at the old address. It is closed once its call is over. The test fails without that.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -121,6 +121,7 @@
   ~Line() { --owner_.connections_; }
 
   EndpointId endpoint() const { return endpoint_; }
+  const Address& address() const { return address_; }
   bool lacks_descriptor() const { return stream_.lacks_descriptor(); }
   // Guards against a surplus, or an end, that has come but was not read yet: it would be taken for the answer
   // to the next call, or end it without one.
@@ -475,7 +476,8 @@
   auto found = busy_.find(&line);
   if (found == busy_.end()) return;
   auto place = places_.find(line.endpoint());
-  if (place == places_.end()) return drop(line);  // it trailed on past its endpoint's end
+  // It trailed on past its endpoint's end, or leads to where that was before it moved.
+  if (place == places_.end() || line.address() != place->second.address) return drop(line);
   place->second.idle.push_front(std::move(found->second));
   busy_.erase(found);
   line.rested();
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -433,5 +433,19 @@
   EXPECT_EQ(endings(), Endings(2, Ending::error));
 }
 
+// The endpoint has moved while a call was out: its connection leads to where it was, and is not used again.
+TEST_F(Calls, MovedWhileACallWasOut) {
+  call({{1, 1000}});
+  wait_for_request(0);
+  PlayedEndpoint moved;
+  endpoints_.locate(endpoint, moved.address);
+  played_.answer(0, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(endings(), Endings{Ending::answered});
+  call({{2, 1000}});
+  run_until([&] { return moved.has_request(0) || played_.has_request(0, 2); });
+  EXPECT_TRUE(moved.has_request(0));
+}
+
 }  // namespace
 }  // namespace rockcrank
