Test the order of taking on and sending, unknown ends beside the next of a key, and hand-over

The stand-in says which clients had heard as a call came (heard=), starts a successor without awaiting its yes (begun=1), and sends SIGHUP to the process before (old=1).

--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -47,6 +48,10 @@
   return found == words.end() ? absent : found->second;
 }
 
+inline bool contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 inline std::string unescaped(const std::string& text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -344,7 +349,7 @@
       auto id = head.find("Request-Id: ") + 12;
       ids.push_back(head.substr(id, head.find('\r', id) - id));
     }
-    for (const auto& id : ids) calls_.push_back({id, peer.endpoint, head + body});
+    for (const auto& id : ids) calls_.push_back({id, peer.endpoint, head + body, who_has_heard()});
     const auto& manner = endpoint.manner;
     double after = now() + number(endpoint.how, "after", 0);
     bool used = std::exchange(peer.used, true);
@@ -382,6 +387,17 @@
     return true;
   }
 
+  // The clients to which an answer has come, read or not, that their scenario has not looked at yet.
+  std::string who_has_heard() const {
+    std::string names = " ";
+    for (const auto& [name, fd] : clients_) {
+      int unread = 0;
+      if (ioctl(fd, FIONREAD, &unread) != 0) continue;
+      if (unread > 0 || !peers_.at(fd).in.empty()) names += name + " ";
+    }
+    return names;
+  }
+
   // The answers that an endpoint has held go out, or the connections on which they are awaited are reset.
   void release(const std::string& endpoint, bool reset) {
     for (const auto& held : std::vector<HeldAnswer>(held_answers_)) {
@@ -456,6 +472,7 @@
     while (now() < begun + number(words, "within", 6000)) {
       auto name = "health" + std::to_string(healths_++);
       if (connected(name, admin_port_) >= 0) {
+        if (words.count("begun")) return;  // it has read its configuration and asks the one before
         say(name, "HEALTH\n");
         pump(500, [&] { return peers_[clients_[name]].ended; });
         if (peers_[clients_[name]].in == "done\n") {
@@ -631,7 +648,8 @@
       release(plain.at(1), words.count("reset") > 0);
     } else if (verb == "reload") {
       write_config(words);
-      end_process(SIGHUP);
+      if (words.count("old")) ::kill(old_, SIGHUP);
+      else end_process(SIGHUP);
     } else if (verb == "start") {
       start(words);
     } else if (verb == "kill" || verb == "term") {
@@ -740,6 +758,7 @@
         for (const auto& call : calls_) {
           if (words.count("before") && call[0] == words.at("before")) break;
           found += (plain.size() < 3 || call[0] == plain[2]) &&
+                   (!words.count("heard") || contains(call[3], " " + words.at("heard") + " ")) &&
                    (!words.count("at") || call[1] == words.at("at")) &&
                    (!words.count("says") || call[2].find(unescaped(words.at("says"))) != std::string::npos);
         }
@@ -814,7 +833,7 @@
   std::multimap<double, Later> later_;
   std::vector<HeldAnswer> held_answers_;
   std::map<std::string, std::size_t> closed_by_relay_;  // connections of endpoints
-  std::vector<std::vector<std::string>> calls_;  // id, endpoint, the whole text
+  std::vector<std::vector<std::string>> calls_;  // id, endpoint, the whole text, who had heard
   std::map<std::string, std::size_t> connections_;
   std::map<std::string, std::vector<Json>> notices_;
 };
