Keep a SIGHUP that comes before a starting relay serves

SIGHUP ended a process that had not come to ignore it yet, and was lost from then until the first handler was set, though the configuration had been read before: a relay that waited for the one before it went on with the old file and the agent's old address. It is blocked now before the file is read, and let through as the relay begins to serve. The test fails with the signal ignored as before.

--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -64,6 +64,13 @@
   errno = kept;
 }
 
+void mask_reload(int how) {
+  sigset_t reload;
+  sigemptyset(&reload);
+  sigaddset(&reload, SIGHUP);
+  sigprocmask(how, &reload, nullptr);
+}
+
 }  // namespace
 
 Address address_of(std::string_view text) {
@@ -385,6 +392,12 @@
   ::close(ends_[0]), ::close(ends_[1]);
 }
 
+// Guards against a SIGHUP that comes between the reading of the configuration and the first round: it would
+// end the process, or be lost with the new configuration.
+void Signals::hold_back() { mask_reload(SIG_BLOCK); }
+
+void Signals::listen() { mask_reload(SIG_UNBLOCK); }
+
 void Signals::ready(short) {
   char bytes[16];
   auto count = ::read(ends_[0], bytes, sizeof bytes);
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -160,6 +160,9 @@
 class Signals : public Handler {
  public:
   Signals(Loop& loop, std::function<void()> asked_to_end, std::function<void()> asked_to_read);
+  // SIGHUP waits from hold_back(), to be called before the configuration is read, until listen().
+  static void hold_back();
+  void listen();
   ~Signals() override;
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -1,5 +1,4 @@
 // rockcrank: the relay's command line. It must never hold anything that the configuration file tells.
-#include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
@@ -53,7 +52,6 @@
 // time, this one serves by itself and waits with its calls for the other's end.
 void serve(const rockcrank::Config& config, bool notes) {
   constexpr rockcrank::Millis taken_within = 4000, pause = 50;  // the platform wants its yes within 6 s
-  std::signal(SIGHUP, SIG_IGN);
   rockcrank::Loop loop;
   std::unique_ptr<rockcrank::Admin> admin;
   if (config.admin.port != 0) admin = std::make_unique<rockcrank::Admin>(loop, config.admin);
@@ -107,6 +105,7 @@
     std::fprintf(stderr, "rockcrank: no such command: '%s'\n%s", command.c_str(), usage);
     return 2;
   }
+  if (command == "serve") rockcrank::Signals::hold_back();
   try {
     auto config = rockcrank::read_config();
     if (command == "check") rockcrank::peer::read_fleet(config);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -134,6 +134,7 @@
     admin_->on_health = [this] { return std::string(leaving_ ? "it ends" : ""); };
     admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
   }
+  signals_.listen();
   begin();
   for (const auto& endpoint : store_.outs()) decision_->set_out(EndpointId(hash_of(endpoint)), true);
   if (!taken_over_) take_list(config_.known);
