Read the configuration again after taking over from another process

A SIGHUP to the process before, while its successor had read the file already, was acted on by the one that went, or by none: the successor went on with the file as it was before. It reads the file once more as it begins to serve. The test fails without that.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -135,6 +135,8 @@
     admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
   }
   signals_.listen();
+  // Guards against a SIGHUP that the process before had while it handed over: this one read the file before.
+  if (taken_over_) read_again();
   begin();
   for (const auto& endpoint : store_.outs()) decision_->set_out(EndpointId(hash_of(endpoint)), true);
   if (!taken_over_) take_list(config_.known);
