--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -295,7 +295,8 @@
     auto sent = spoilt == "head"   ? text.size() - body.size()
                 : spoilt == "half" ? text.size() - body.size() / 2
                                    : text.size();
-    later_.emplace(now(), Later{fd, text.substr(0, sent), false});
+    if (spoilt == "end") sent = 0;
+    later_.emplace(now(), Later{fd, text.substr(0, sent), spoilt == "end"});
     held_back_[fd] = text.substr(sent);
     spoilt_ += !spoilt.empty();
   }
