--- /dev/null
+++ b/tests/crossings/stream_test.cpp
@@ -0,0 +1,57 @@
+// Streams on loopback: that no last small write is held back by the system, however its connection came
+// about.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "relay/loop.h"
+
+namespace rockcrank {
+namespace {
+
+bool sends_at_once(int fd) {
+  int on = 0;
+  socklen_t size = sizeof on;
+  return getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, &size) == 0 && on != 0;
+}
+
+struct Listening {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  Address address{"127.0.0.1", 0};
+  Listening() {
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    EXPECT_EQ(listen(fd, 8), 0);
+    EXPECT_EQ(getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size), 0);
+    address.port = ntohs(at.sin_port);
+  }
+  ~Listening() { ::close(fd); }
+};
+
+TEST(Stream, HoldsBackNoSmallWriteOnDialledAcceptedAndPassedConnections) {
+  Loop loop;
+  Listening listening;
+  Stream dialled(loop, listening.address);
+  int accepted_fd = accept4(listening.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  ASSERT_GE(accepted_fd, 0);
+  EXPECT_FALSE(sends_at_once(accepted_fd));  // the system's default: it is the stream that asks for it
+  Stream accepted(loop, accepted_fd);
+  EXPECT_TRUE(sends_at_once(dialled.keep().fd));
+  EXPECT_TRUE(sends_at_once(accepted.keep().fd));
+  // As passed to another process: another descriptor of the same connection.
+  Stream::Kept kept = accepted.keep();
+  kept.fd = fcntl(kept.fd, F_DUPFD_CLOEXEC, 3);
+  ASSERT_GE(kept.fd, 0);
+  accepted.close();
+  Stream passed(loop, kept);
+  EXPECT_TRUE(sends_at_once(passed.keep().fd));
+}
+
+}  // namespace
+}  // namespace rockcrank
