End the process only once every client's connection is over

Cause: leave_further() stopped the loop as soon as no message, call or notice was left. It did not ask for the clients' connections. 0.5 s after SIGTERM, with nothing held, a client that had written half a command was cut off, and the system reset connections over bytes that were not read: of 7 MB of answers, 4 KB arrived.

Excluded: the end of a connection itself (close_if_idle, Stream::finish) is in order: what comes between the look at a connection and its shutdown, or behind it, is dropped and resets nothing (term_crossing_request).

Change: the process ends early only when no client's connection is left. 0.3 s before its bound of 3.5 s, half a command is answered -BUSY, so that its client may hand it in elsewhere, and each connection still open is ended.

--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -85,6 +85,13 @@
     if (answers_.empty() && (input_over_ || (stream_.received().empty() && stream_.quiet()))) finish();
   }
 
+  // At the end of this process. What has come of a command never ran, so the client may hand it in elsewhere.
+  void close_now() {
+    if (finishing_) return;
+    if (!stream_.received().empty()) answers_.emplace_back("-BUSY\r\n");
+    finish();
+  }
+
  private:
   void hear() {
     stream_.on_data = [this] { read(); };
@@ -280,4 +287,8 @@
   each([](Client& client) { client.close_if_idle(); });
 }
 
+void Clients::close_now() {
+  each([](Client& client) { client.close_now(); });
+}
+
 }  // namespace rockcrank
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -49,6 +49,7 @@
   std::size_t size() const { return clients_.size(); }
   void give_room();            // closes all that may be closed between requests
   void close_after_answers();  // each connection, once nothing on it is unanswered
+  void close_now();            // each connection; what has come of a command is turned away
 
  private:
   class Client;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,9 @@
 // SIGKILL comes no sooner than 3.7 s after it.
 constexpr Millis connections_come = 500;
 constexpr Millis gone_within = 3500;
+// The last of that time: answers given now still get through, and what clients send meanwhile is read and
+// dropped.
+constexpr Millis last_answers = 300;
 constexpr Millis look_again = 50;  // for the end of a process that keeps its file
 constexpr int baggage_form = 1;    // changed with every change of what pack() gives
 
@@ -606,11 +609,14 @@
 
 void Relay::leave_further() {
   auto now = loop_.now();
-  if (now < leave_at_) {
-    clients_.stop_listening();
-    clients_.close_after_answers();
-  }
-  bool done = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
+  clients_.stop_listening();
+  clients_.close_after_answers();
+  if (now >= leave_at_ - last_answers) clients_.close_now();
+  // Guards against an end that resets a connection: over bytes that were not read, or over answers that were
+  // not sent. Each client's connection ends first, or its time to end is over.
+  bool clients_gone = clients_.size() == 0;
+  bool nothing_held = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
+  bool done = clients_gone && nothing_held;
   if (done || now >= leave_at_) return loop_.stop();
   leaving_due_.set(std::min(leave_at_, now + 50));
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -15,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
@@ -63,6 +64,7 @@
 class StandIn {
  public:
   using Json = nlohmann::json;
+  static constexpr int small_window = 4096;  // bytes that a client which does not read takes in
 
   StandIn() {
     char name[] = "/tmp/rockcrank-test-XXXXXX";
@@ -124,6 +126,7 @@
   struct Peer {  // an accepted connection, or a client's
     std::string endpoint, in, out;
     bool agent = false, client = false, ended = false, used = false, crowded = false;
+    bool unread = false;  // a client that does not read
     std::int64_t watching = -1;
     double watch_ends = 0;
   };
@@ -182,7 +185,8 @@
         polled.push_back({endpoint.listener, POLLIN, 0});
     for (auto& [fd, peer] : peers_)
       if (!peer.ended)
-        polled.push_back({fd, static_cast<short>(POLLIN | (peer.out.empty() ? 0 : POLLOUT)), 0});
+        polled.push_back(
+            {fd, static_cast<short>((peer.unread ? 0 : POLLIN) | (peer.out.empty() ? 0 : POLLOUT)), 0});
     poll(polled.data(), polled.size(), 2);
     for (auto& one : polled)
       if (one.revents != 0) ready(one.fd, one.revents);
@@ -207,7 +211,7 @@
     if (found == peers_.end()) return;
     Peer& peer = found->second;
     if (events & POLLOUT) write(fd, peer);
-    if (!(events & (POLLIN | POLLHUP | POLLERR))) return;
+    if (peer.unread || !(events & (POLLIN | POLLHUP | POLLERR))) return;
     char bytes[65536];
     auto count = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
     if (count <= 0) {
@@ -348,10 +352,11 @@
     }
   }
 
-  int client(const std::string& name) { return connected(name, relay_port_); }
-  int connected(const std::string& name, int port) {
+  int client(const std::string& name, int window = 0) { return connected(name, relay_port_, window); }
+  int connected(const std::string& name, int port, int window = 0) {
     if (auto found = clients_.find(name); found != clients_.end()) return found->second;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (window > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
     auto to = loopback(port);
     if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
       ::close(fd);
@@ -376,6 +381,8 @@
 
   std::string write_config(const Words& words) {
     if (text_or(words, "known", "") != "old") known_ = list();
+    if (text_or(words, "known", "") == "none")
+      known_ = {{"rev", -1}, {"all", true}, {"targets", Json::array()}};
     Json config{
         {"name", "r1"},
         {"listen", at(relay_port_)},
@@ -457,6 +464,7 @@
     bool passed = words.count("passed") > 0;
     if (passed && passed_ < 0) passed_ = listen_on(relay_port_);
     end_process(SIGKILL);
+    halts_ = 0;
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // no relay outlives the tests
@@ -464,6 +472,7 @@
       int log = open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | (old_ > 0 ? O_APPEND : O_TRUNC), 0600);
       dup2(log, 1), dup2(log, 2);
       if (passed) dup2(passed_, 3), setenv("BALANCER_PASSED_SOCKET", "3", 1);
+      load_halt(words);
       close_range(passed ? 4 : 3, ~0u, 0);  // whatever this runner was started with: descriptors are counted
       rlimit limit{files, files}, size{largest, largest};
       if (files > 0) setrlimit(RLIMIT_NOFILE, &limit);
@@ -479,6 +488,27 @@
     EXPECT_TRUE(pump(5000, [&] { return peers_[clients_["first"]].in == "+PONG\r\n"; })) << log();
     peers_[clients_["first"]].in.clear();
   }
+  // Called in the relay's process before it runs: crossings/halt.cpp says what this does there.
+  static void load_halt(const Words& words) {
+    if (!words.count("halt") && !words.count("wall_ahead")) return;
+    auto points = unescaped(text_or(words, "halt", ""));
+    std::replace(points.begin(), points.end(), ';', '\n');
+    setenv("LD_PRELOAD", HALT_LIBRARY, 1);
+    setenv("ROCKCRANK_HALT", points.c_str(), 1);
+    setenv("ROCKCRANK_WALL_AHEAD_MS", text_or(words, "wall_ahead", "0").c_str(), 1);
+  }
+  // Whether the process has stopped itself since this was last asked.
+  bool has_halted() {
+    int status = 0;
+    return pid_ > 0 && waitpid(pid_, &status, WNOHANG | WUNTRACED) == pid_ && WIFSTOPPED(status);
+  }
+  bool refuses_connections() {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto to = loopback(relay_port_);
+    bool refused = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0;
+    ::close(fd);
+    return refused;
+  }
   std::string log() const {
     std::ifstream in(folder_ + "/log");
     return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
@@ -597,6 +627,10 @@
       elder();
     } else if (verb == "stall") {
       ::kill(pid_, SIGSTOP);
+    } else if (verb == "resume") {
+      ::kill(pid_, SIGCONT);
+    } else if (verb == "unread") {
+      peers_[client(plain.at(1), small_window)].unread = true;
     } else if (verb == "old") {
       bool gone = plain.at(1) == "ends";
       if (plain.at(1) == "resumes") return void(::kill(old_, SIGCONT));
@@ -621,6 +655,12 @@
       int status = 0;
       EXPECT_TRUE(pump(4000, [&] { return waitpid(pid, &status, WNOHANG) == pid; }));
       EXPECT_EQ(WEXITSTATUS(status), int(number(words, "code", 0)));
+    } else if (verb == "ping") {
+      auto count = static_cast<std::size_t>(number(words, "times", 1));
+      auto one = command({"PING"});
+      std::string all;
+      for (std::size_t i = 0; i < count; ++i) all += one;
+      say(plain.at(1), all);
     } else if (verb == "half") {
       shutdown(client(plain.at(1)), SHUT_WR);
     } else if (verb == "hand") {
@@ -636,6 +676,15 @@
       for (int i = 0; i < int(number(words, "clients", 0)); ++i)
         say(plain.at(1) + std::to_string(i), document(plain.at(1) + std::to_string(i)));
       if (words.count("clients")) return;
+      if (words.count("first") || words.count("last")) {
+        auto whole = document(plain.at(2)), part = whole.substr(0, whole.size() / 2);
+        auto said = words.count("first") ? part : whole.substr(part.size());
+        if (words.count("then")) {
+          auto next = document(words.at("then"));
+          said += next.substr(0, next.size() / 2);
+        }
+        return say(plain.at(1), said);
+      }
       auto count = int(number(words, "times", 1));
       std::string out;
       for (int i = 0; i < count; ++i)
@@ -644,6 +693,9 @@
     } else if (verb == "hear") {
       auto wanted = rest_of(2);
       int fd = client(plain.at(1));
+      constexpr int large_window = 1 << 20;
+      if (std::exchange(peers_[fd].unread, false))
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &large_window, sizeof large_window);
       if (wanted == "BUSY") {
         auto& in = peers_[fd].in;
         EXPECT_TRUE(pump(1500, [&] { return in.find('\n') != std::string::npos; }));
@@ -696,6 +748,14 @@
                      (!words.count("status") || one.at("status") == words.at("status"));
         return found;
       };
+    else if (what == "heard") count = [&] { return peers_[client(plain.at(2))].in.size(); };
+    else if (what == "reset")
+      count = [&] {
+        pollfd one{client(plain.at(2)), 0, 0};
+        return std::size_t(poll(&one, 1, 0) > 0 && (one.revents & POLLERR) != 0);
+      };
+    else if (what == "refused") count = [&] { return std::size_t(refuses_connections()); };
+    else if (what == "halted") count = [&] { return halts_ += has_halted(); };
     else if (what == "log")
       count = [&] { return std::size_t(log().find(unescaped(words.at("says"))) != std::string::npos); };
     else if (what == "exit") {
@@ -726,6 +786,7 @@
   int agent_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
   pid_t pid_ = -1, old_ = -1;
   int passed_ = -1, healths_ = 0;
+  std::size_t halts_ = 0;  // of the present process
   std::vector<int> posing_;
   Json settings_;
   std::int64_t revision_ = 1;
