Ignore further signals to end once the process ends in order

Cause: ~Signals() puts SIGTERM and SIGINT back to their default, so a second one in the last moments of a planned end killed the process (exit by signal 15 in place of 0).

Excluded: a further signal while the loop still runs changes nothing (leave() asks leaving_).

Change: once the process was asked to end, both signals are ignored from then on. One that was not asked, as a successor that gives up, still gets the default.

--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -374,8 +374,10 @@
 }
 
 Signals::~Signals() {
-  signal(SIGTERM, SIG_DFL);
-  signal(SIGINT, SIG_DFL);
+  // Guards against a further signal to end that kills a process which ends in order already.
+  auto from_now = ending_ ? SIG_IGN : SIG_DFL;
+  signal(SIGTERM, from_now);
+  signal(SIGINT, from_now);
   signal(SIGHUP, SIG_IGN);  // one that comes as the relay ends must not spoil its end
   loop_.remove(ends_[0]);
   ::close(ends_[0]), ::close(ends_[1]);
@@ -387,7 +389,7 @@
   bool read_again = false, end = false;
   for (ssize_t i = 0; i < count; ++i) (bytes[i] == SIGHUP ? read_again : end) = true;
   if (read_again) asked_to_read_();
-  if (end) asked_to_end_();
+  if (end) ending_ = true, asked_to_end_();
 }
 
 }  // namespace rockcrank
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -168,6 +168,7 @@
 
   Loop& loop_;
   std::function<void()> asked_to_end_, asked_to_read_;
+  bool ending_ = false;  // it was asked to end
   int ends_[2];
 };
 
