Note that a call may run when it is written, not when it is chosen

Cause: settle() noted each chosen transmission as one that may have run in the write that precedes +OK. A process that ended between +OK and the call's bytes, or while the call's connection was still coming up, left it so noted: the restart gave up messages that may not be repeated though nothing of them had ever been written.

Excluded: the store's order of message and +OK (killed_before_note, killed_around_ok: a kill right behind or before +OK leaves the message there); the module, which tries what it is told has not run.

Change: at its choice a transmission is counted and proven never to have run; right before the first byte of its call is written (on_writing), it is noted as a risk. Where that cannot be noted, it is not sent. In a fleet, whose copies are asked before, all stays as it was. Costs one write to the file for each call.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -208,7 +208,10 @@
   // Whether the endpoint cannot have the whole call: until its last byte is written, it never ran.
   bool unwritten() const { return !request_.empty() || stream_.unsent() > 0; }
 
-  void write() { stream_.send(std::exchange(request_, {})); }
+  void write() {
+    if (!owner_.on_writing(endpoint_, items_)) return stop(Ending::not_sent);
+    stream_.send(std::exchange(request_, {}));
+  }
 
   void watch_connect() {
     if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_within > 0)
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -66,6 +66,8 @@
   std::function<void(const Outcome&)> on_outcome;
   std::function<void(DocId, int)> on_connecting;
   std::function<MayBegin(DocId, int)> may_begin;
+  // Asked right before a call's first byte is written: from then on it may run. False: it may not be written.
+  std::function<bool(EndpointId, const std::vector<Item>&)> on_writing;
   Millis idle_most = 0;  // set before each turn's calls: a connection idle for longer is not used again
 
   void retune(Millis connect_within, Millis idle_life);  // of connections opened, or idle, from now on
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -79,6 +79,9 @@
     if (!owns(doc)) return MayBegin::later;
     return decision_->may_begin(doc, transmission);
   };
+  endpoints_.on_writing = [this](EndpointId endpoint, const std::vector<Endpoints::Item>& calls) {
+    return note_risk(endpoint, calls);
+  };
   watch_.version = [this] { return list_version_; };
   watch_.on_failure = [this](bool turned_away) {
     begin();
@@ -409,7 +412,10 @@
   for (const auto& sent : decided.transmitted) {
     auto found = store_.held().find(sent.doc);
     if (found == store_.held().end()) continue;
-    store_.sent(sent.doc, found->second.transmissions, wall, known_.at(sent.endpoint).hall);
+    auto transmission = found->second.transmissions;
+    store_.sent(sent.doc, transmission, wall, known_.at(sent.endpoint).hall);
+    // It is counted here, but can only run once it is written: note_risk(). The fleet asks its copies before.
+    if (!fleet_) store_.never_ran(sent.doc, transmission);
   }
   bool kept = store_.flush();
   if (!kept) hold_back(decided.transmitted);
@@ -427,6 +433,15 @@
   }
 }
 
+// Guards against giving up, after a kill, what was only chosen to go: a call that waits for its connection,
+// or stands behind the answers of its turn, has not run and is tried again after the restart.
+bool Relay::note_risk(EndpointId endpoint, const std::vector<Endpoints::Item>& calls) {
+  if (fleet_) return true;  // noted when it was chosen
+  auto wall = Loop::wall();
+  for (const auto& call : calls) store_.sent(call.doc, call.transmission, wall, known_.at(endpoint).hall);
+  return store_.flush();
+}
+
 // The store could not note these, so they do not go; nor any of a document about to be given back.
 void Relay::hold_back(const std::vector<Transmit>& transmitted) {
   for (const auto& sent : transmitted)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -53,6 +53,7 @@
   void take_list(const ListAnswer& list);
   void begin();   // opens a turn, if none is open
   void settle();  // ends the turn: asks the module, notes, answers, sends
+  bool note_risk(EndpointId endpoint, const std::vector<Endpoints::Item>& calls);
   void not_begun(const Transmit& sent, int transmission);
   void hold_back(const std::vector<Transmit>& transmitted);
   void answer_arrived(bool kept);
