Answer what was read in the last round before the process ends

Cause: leave_further() stopped the loop without ending an open turn. Where the process had stood still past its bound, the rest of a command that came meanwhile was read in the same round and went without its answer.

Change: an open turn is ended before the loop is stopped. Test: term_stalled, in which an outcome and a command come while the process is stopped (SIGSTOP) past its bound.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -632,7 +632,11 @@
   bool clients_gone = clients_.size() == 0;
   bool nothing_held = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
   bool done = clients_gone && nothing_held;
-  if (done || now >= leave_at_) return loop_.stop();
+  if (done || now >= leave_at_) {
+    // Guards against a message read in this round that would go without its answer.
+    if (turn_open_) settle();
+    return loop_.stop();
+  }
   leaving_due_.set(std::min(leave_at_, now + 50));
 }
 
