Take an attempt for older where the wall clock was set back while the process was gone

Cause: the age of an attempt after a restart is the wall clock's difference alone (to_document()). With the clock set back meanwhile it came out too small, and a message whose mark the destination had forgotten went again.

Change: the file says by how much the wall clock is ahead of the monotonic one, and since which start of the machine. Where the same machine's difference has shrunk, attempts are made older by as much, never younger. A message's time to its expiry still follows the wall clock.

--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
@@ -20,6 +21,7 @@
 
 #include "relay/files.h"
 #include "relay/log.h"
+#include "relay/loop.h"
 #include "settings/settings.h"
 
 namespace rockcrank {
@@ -128,6 +130,19 @@
   return rest;
 }
 
+// Told apart from every other start of this machine; 0 where the system does not say.
+std::uint64_t machine_start() {
+  std::ifstream file("/proc/sys/kernel/random/boot_id");
+  std::string id;
+  return std::getline(file, id) ? hash_of(id) : 0;
+}
+
+std::string clock_record(Millis wall_ahead, std::uint64_t start) {
+  std::string rest;
+  put(rest, wall_ahead), put(rest, start);
+  return rest;
+}
+
 std::uint32_t sum_of(std::string_view bytes) { return static_cast<std::uint32_t>(hash_of(bytes) >> 7); }
 
 std::string record_of(char kind, DocId doc, std::string_view rest) {
@@ -199,6 +214,7 @@
     : folder_(std::move(folder)), bytes_most_(bytes_most) {
   std::filesystem::create_directories(folder_);
   find_files();
+  keep_time();
   if (!compact()) throw std::runtime_error("cannot write in the folder " + folder_);
 }
 
@@ -206,6 +222,7 @@
     : folder_(std::move(folder)), bytes_most_(bytes_most), path_(passed.path), fd_(passed.descriptor) {
   find_files();
   recover(passed.image, 0);
+  keep_time();
   last_ = passed.last, file_bytes_ = passed.file_bytes, behind_ = passed.behind;
 }
 
@@ -247,6 +264,7 @@
 void Store::take_up(const std::string& path, int fd) {
   std::remove((path + ".new").c_str());
   recover(bytes_of(path), last_);
+  keep_time();
   taken_up_.emplace_back(path, fd);
 }
 
@@ -317,7 +335,21 @@
   if (on_noted) on_noted('D', doc, 0);
 }
 
+// Notes by how much the wall clock is ahead of the one that nobody sets, where that has changed. Guards
+// against a second effect after the wall clock was set back: an attempt would seem younger than it is, and
+// its mark still known at the destination.
+void Store::keep_time() {
+  constexpr Millis apart_most = 10;
+  static const auto start = machine_start();
+  auto ahead = Loop::wall() - Loop::monotonic();
+  if (start == machine_start_ && std::abs(ahead - wall_ahead_) < apart_most) return;
+  auto rest = clock_record(ahead, start);
+  pending_ += record_of('K', DocId{}, rest);
+  apply('K', DocId{}, rest);
+}
+
 void Store::sent(DocId doc, int transmission, Millis at, HallId hall) {
+  keep_time();
   std::string rest;
   put_sent(rest, {transmission, at, hall});
   change('S', doc, rest, transmission);
@@ -394,6 +426,7 @@
   std::string bytes;
   // The fleet tells documents apart by their numbers: none is given again, also where its document is over.
   if (!notes_.empty()) bytes += record_of('L', DocId{last_}, {});
+  bytes += record_of('K', DocId{}, clock_record(wall_ahead_, machine_start_));
   for (const auto& [doc, document] : held_) {
     if (!document.noted) continue;
     bytes += record_of('D', doc, whole(document));
@@ -463,6 +496,16 @@
     if (!text.empty()) notes_bytes_ += note_record(name, text).size() + upkeep_bytes, notes_[name] = text;
     return;
   }
+  if (kind == 'K') {
+    auto ahead = reader.number<double>();
+    auto start = reader.number<std::uint64_t>();
+    // Only ever made older: where the clocks do not go together, what they say is no reason to try again.
+    auto set_back = start == machine_start_ && start != 0 ? std::max(0.0, wall_ahead_ - ahead) : 0.0;
+    for (auto& [other, document] : held_)
+      for (auto& sent : document.unproven) sent.at -= set_back;
+    wall_ahead_ = ahead, machine_start_ = start;
+    return;
+  }
   if (kind == 'D' || kind == 'T') {  // T: as version 0.2.0 wrote it, without its type
     auto document = read_document(reader, kind == 'D');
     document.bytes = sizeof kind + sizeof doc + rest.size() + upkeep_bytes, document.noted = true;
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -87,6 +87,7 @@
   bool flush();  // what was noted outlives the process from here on; false: it may not
 
  private:
+  void keep_time();
   void find_files();
   void take_up(const std::string& path, int fd);
   void recover(std::string_view bytes, std::uint64_t base);  // base: added to the numbers of its documents
@@ -104,6 +105,10 @@
   std::string path_;
   std::vector<std::string> others_;                    // files whose owner lives
   std::vector<std::pair<std::string, int>> taken_up_;  // files read, to go with the next compaction
+  // The wall clock, told by the one that nobody sets, and since which start of the machine that one runs:
+  // times of attempts are in its terms. 0: not known.
+  Millis wall_ahead_ = 0;
+  std::uint64_t machine_start_ = 0;
   std::set<std::string> outs_;
   std::map<std::string, std::string> notes_;
   std::size_t notes_bytes_ = 0;
