--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,9 @@
 // SIGKILL comes no sooner than 3.7 s after it.
 constexpr Millis connections_come = 500;
 constexpr Millis gone_within = 3500;
+// The last of that time: answers given now still get through, and what clients send meanwhile is read and
+// dropped.
+constexpr Millis last_answers = 300;
 constexpr Millis look_again = 50;  // for the end of a process that keeps its file
 constexpr int baggage_form = 1;    // changed with every change of what pack() gives
 
@@ -80,6 +83,9 @@
     auto found = store_.held().find(doc);
     return found == store_.held().end() || found->second.ended;
   };
+  endpoints_.on_writing = [this](EndpointId endpoint, const std::vector<Endpoints::Item>& calls) {
+    return note_risk(endpoint, calls);
+  };
   watch_.version = [this] { return list_version_; };
   watch_.on_failure = [this](bool turned_away, Millis took) {
     begin();
@@ -419,7 +425,10 @@
   for (const auto& sent : decided.transmitted) {
     auto found = store_.held().find(sent.doc);
     if (found == store_.held().end()) continue;
-    store_.sent(sent.doc, found->second.transmissions, wall, known_.at(sent.endpoint).hall);
+    auto transmission = found->second.transmissions;
+    store_.sent(sent.doc, transmission, wall, known_.at(sent.endpoint).hall);
+    // It is counted here, but can only run once it is written: note_risk(). The fleet asks its copies before.
+    if (!fleet_) store_.never_ran(sent.doc, transmission);
   }
   bool kept = store_.flush();
   if (!kept) hold_back(decided.transmitted);
@@ -437,6 +446,15 @@
   }
 }
 
+// Guards against giving up, after a kill, what was only chosen to go: a call that waits for its connection,
+// or stands behind the answers of its turn, has not run and is tried again after the restart.
+bool Relay::note_risk(EndpointId endpoint, const std::vector<Endpoints::Item>& calls) {
+  if (fleet_) return true;  // noted when it was chosen
+  auto wall = Loop::wall();
+  for (const auto& call : calls) store_.sent(call.doc, call.transmission, wall, known_.at(endpoint).hall);
+  return store_.flush();
+}
+
 // The store could not note these, so they do not go; nor any of a document about to be given back.
 void Relay::hold_back(const std::vector<Transmit>& transmitted) {
   for (const auto& sent : transmitted)
@@ -619,12 +637,19 @@
 
 void Relay::leave_further() {
   auto now = loop_.now();
-  if (now < leave_at_) {
-    clients_.stop_listening();
-    clients_.close_after_answers();
+  clients_.stop_listening();
+  clients_.close_after_answers();
+  if (now >= leave_at_ - last_answers) clients_.close_now();
+  // Guards against an end that resets a connection: over bytes that were not read, or over answers that were
+  // not sent. Each client's connection ends first, or its time to end is over.
+  bool clients_gone = clients_.size() == 0;
+  bool nothing_held = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
+  bool done = clients_gone && nothing_held;
+  if (done || now >= leave_at_) {
+    // Guards against a message read in this round that would go without its answer.
+    if (turn_open_) settle();
+    return loop_.stop();
   }
-  bool done = endpoints_.none_out() && notices_.none_left() && store_.held().empty();
-  if (done || now >= leave_at_) return loop_.stop();
   leaving_due_.set(std::min(leave_at_, now + 50));
 }
 
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -119,6 +119,7 @@
     endpoints_.idle_most = 1e9;
     endpoints_.on_outcome = [this](const Outcome& outcome) { outcomes_.push_back(outcome); };
     endpoints_.on_connecting = [](DocId, int) {};
+    endpoints_.on_writing = [](EndpointId, const std::vector<Endpoints::Item>&) { return true; };
     endpoints_.may_begin = [this](DocId, int) { return ++asked_, may_begin_; };
     endpoints_.is_over = [this](DocId doc) { return over_.count(doc) > 0; };
   }
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -659,6 +659,8 @@
     endpoints.on_ahead = [this](EndpointId, Endpoints::Ahead what) { told.push_back(what); };
     endpoints.on_outcome = [this](const Outcome& outcome) { outcomes.push_back(outcome); };
     endpoints.on_connecting = [](DocId, int) {};
+    endpoints.on_writing = [](EndpointId, const std::vector<Endpoints::Item>&) { return true; };
+    endpoints.is_over = [](DocId) { return false; };
     endpoints.may_begin = [](DocId, int) { return MayBegin::now; };
     endpoints.idle_most = 1e18;
     endpoints.locate(EndpointId{1}, {"127.0.0.1", port});
