Count deliveries that fail together as one failure of their subscriber

Seen: trial.late_joiner and trial.planted_streams failed in the first repeat on a loaded machine. Their logs: all relays were told of the late subscriber's endpoint at 3.1 s, and none sent it anything in the 8 s that followed. Deliveries to a subscriber not listed yet fail at once, and up to 32 begin in one turn; Keeper::ended counted each as a further failure in a row, so that its rest went to 60 s at one stroke. Excluded: the list (each relay was told every second) and the duty (the other subscriber was served). Now a failure counts only once the rest before it is over.

--- a/src/latest/latest.cpp
+++ b/src/latest/latest.cpp
@@ -259,7 +259,9 @@
       // Its next attempt is a delivery of its own, of whatever is the newest then.
       Again& again = reader.again[delivery.key];
       again.not_before = now_ + varied(ladder(++again.failures));
-      reader.rests_until = now_ + varied(ladder(++reader.failures));
+      // Guards against deliveries that fail together, each of which would lengthen the rest: they tell of one
+      // failure.
+      if (now_ >= reader.rests_until) reader.rests_until = now_ + varied(ladder(++reader.failures));
     }
   }
   void documents(int waiting) override { waiting_ = waiting, compaction_.documents(waiting); }
--- a/tests/fleet/latest_test.cpp
+++ b/tests/fleet/latest_test.cpp
@@ -532,5 +532,18 @@
   EXPECT_EQ(out(0, false), 4u);
 }
 
+// Deliveries that fail in the same moment tell of one failure: the subscriber is tried again as after one.
+TEST(Latest, FailuresTogetherCountOnce) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    World world(1, {first}, seed);
+    world.run(10000);  // it has the duty
+    world.down.insert(first);
+    for (int i = 0; i < 40; ++i) world.take(MemberId(1), i);
+    world.run(2500);
+    world.down.clear();
+    EXPECT_TRUE(world.converge(4000)) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace rockcrank::peer
