--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -406,7 +406,7 @@
   bool read_again = false, end = false;
   for (ssize_t i = 0; i < count; ++i) (bytes[i] == SIGHUP ? read_again : end) = true;
   if (read_again) asked_to_read_();
-  if (end) ending_ = true, asked_to_end_();
+  if (end) process_ends(), asked_to_end_();
 }
 
 }  // namespace rockcrank
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -163,6 +163,8 @@
   // SIGHUP waits from hold_back(), to be called before the configuration is read, until listen().
   static void hold_back();
   void listen();
+  // From here on the process ends in order; further signals to end change nothing.
+  void process_ends() { ending_ = true; }
   ~Signals() override;
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -168,7 +168,12 @@
            : store_.alone() ? ""
                             : ", and sends when the process before it has ended");
   loop_.run();
-  if (handed_over_) return log_line("%s is handed over", config_.name.c_str());
+  // Guards against the platform's signal to end, which follows a hand-over, while this process is ending
+  // already.
+  if (handed_over_) {
+    signals_.process_ends();
+    return log_line("%s is handed over", config_.name.c_str());
+  }
   store_.flush();
   log_line("%s ends with %zu documents held", config_.name.c_str(), store_.held().size());
   if (fleet_) log_line("fleet: %s", fleet_->figures().c_str());
