--- a/src/trial/auditor.cpp
+++ b/src/trial/auditor.cpp
@@ -587,7 +587,7 @@
           auto most = multiple * rate_of_[dest] * fall / 1000 * (share_at(from) + share_at(to)) / 2;
           double count = static_cast<double>(last - first + 1), by_knowing = 0;
           for (std::size_t k = first; k <= last; ++k) by_knowing += knew.count(all[k]->relay);
-          if (count > most + 3 * std::sqrt(most) + 3 && by_knowing > count * 2 / 3) {
+          if (count > most + 2 * std::sqrt(most) + 2 && by_knowing > count * 2 / 3) {
             accuse("pushed-over",
                    "destination " + dest + " returned cold and got " + ms(count) + " calls in " + ms(fall) +
                        " ms, " + ms(by_knowing) + " of relays that knew; it bore " + ms(most),
