--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -93,8 +93,10 @@
     if (passed_ >= 0) ::close(passed_);
     pose({{"gone", "1"}});
     for (auto& [fd, peer] : peers_) ::close(fd);
-    for (auto& [name, endpoint] : endpoints_)
+    for (auto& [name, endpoint] : endpoints_) {
       if (endpoint.listener >= 0) ::close(endpoint.listener);
+      if (endpoint.reserved >= 0) ::close(endpoint.reserved);
+    }
     ::close(agent_);
     std::filesystem::remove_all(folder_);
   }
@@ -123,7 +125,7 @@
 
  private:
   struct Endpoint {
-    int listener = -1, port = 0;
+    int listener = -1, reserved = -1, port = 0;  // reserved: its port, while it is down
     std::string manner = "200";
     Words how;
     Json entry;
@@ -149,11 +151,16 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
         .count();
   }
-  static int listen_on(int port) {
+  // Bound and not listening: whoever connects there is refused, and nobody else gets the port.
+  static int reserve(int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto at = loopback(port);
     EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    return fd;
+  }
+  static int listen_on(int port) {
+    int fd = reserve(port);
     EXPECT_EQ(listen(fd, 64), 0);
     return fd;
   }
@@ -637,12 +644,17 @@
       if (endpoint.port == 0) endpoint.port = port_of(endpoint.listener = listen_on(0));
       if (down && endpoint.listener >= 0) {
         ::close(std::exchange(endpoint.listener, -1));
+        // Guards against a test beside this one that gets the port and is called in this endpoint's place.
+        endpoint.reserved = reserve(endpoint.port);
         for (auto peer = peers_.begin(); peer != peers_.end();) {
           auto at = peer++;
           if (at->second.endpoint == plain[1] && !at->second.client) drop(at->first, true);
         }
       }
-      if (!down && !shared && endpoint.listener < 0) endpoint.listener = listen_on(endpoint.port);
+      if (!down && !shared && endpoint.listener < 0) {
+        if (endpoint.reserved >= 0) ::close(std::exchange(endpoint.reserved, -1));
+        endpoint.listener = listen_on(endpoint.port);
+      }
       if (plain.size() > 2) endpoint.manner = plain[2];
       if (endpoint.manner == "deaf") fill_queue(endpoint);
       else if (endpoint.listener >= 0) listen(endpoint.listener, 64);  // its queue is no longer kept short
