--- a/src/model/main.cpp
+++ b/src/model/main.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <thread>
 
+#include "model/cold_run.h"
 #include "model/run.h"
 
 namespace {
@@ -43,8 +44,8 @@
   cxxopts::Options options("rockcrank_model",
                            "The fleet's modules on a virtual clock, under faults drawn from seeds");
   options.add_options()("seeds", "A..B, or one", cxxopts::value<std::string>())(
-      "relays", "members, 3 to 300; else drawn", cxxopts::value<std::string>())(
-      "part", "membership, registers, custody, warm, latest or all",
+      "relays", "members, 3 to 300 (part cold: 2 to 900); else drawn", cxxopts::value<std::string>())(
+      "part", "membership, registers, custody, warm, latest, cold or all",
       cxxopts::value<std::string>()->default_value("all"))("trace", "one seed's run, written to this file",
                                                            cxxopts::value<std::string>())(
       "figures", "tables of what was measured")("threads", "else as many as cores",
@@ -56,7 +57,7 @@
   std::vector<const Part*> chosen;
   Samples samples;
   int threads = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
-  bool go_on = false;
+  bool go_on = false, cold_returns = false;
   std::string trace_file;
   try {
     auto given = options.parse(count, words);
@@ -73,7 +74,9 @@
     if (last < first) throw BadArguments("--seeds A..B: B is below A");
     if (given.count("relays")) {
       auto relays = whole_number(given["relays"].as<std::string>());
-      if (relays < 3 || relays > 300) throw BadArguments("--relays: 3 to 300");
+      bool cold = given["part"].as<std::string>() == "cold";
+      if (cold && (relays < 2 || relays > 900)) throw BadArguments("--relays: 2 to 900");
+      if (!cold && (relays < 3 || relays > 300)) throw BadArguments("--relays: 3 to 300");
       order.relays = static_cast<int>(relays);
     }
     if (given.count("threads")) threads = static_cast<int>(whole_number(given["threads"].as<std::string>()));
@@ -81,13 +84,15 @@
     auto name = given["part"].as<std::string>();
     for (const auto& part : parts())
       if (name == "all" || name == part.name) chosen.push_back(&part);
-    if (chosen.empty()) throw BadArguments("--part: not known: '" + name + "'");
+    cold_returns = name == "all" || name == "cold";
+    if (chosen.empty() && !cold_returns) throw BadArguments("--part: not known: '" + name + "'");
     if (given.count("plant")) {
       order.plant = given["plant"].as<std::string>();
       std::erase_if(chosen, [&](const Part* part) {
         return std::none_of(part->plants.begin(), part->plants.end(),
                             [&](const auto& plant) { return plant.first == order.plant; });
       });
+      cold_returns = false;
       if (chosen.empty()) throw BadArguments("--plant: not known: '" + order.plant + "'");
     }
     if (given.count("figures")) order.samples = &samples;
@@ -140,6 +145,7 @@
                 static_cast<unsigned long long>(digest), broken.empty() ? "all hold" : "BROKEN");
     std::fflush(stdout);
   }
+  if (cold_returns) holds &= tell_cold_returns(first, last, order.relays, threads, go_on);
   if (order.samples) print_samples(samples);
   return holds ? 0 : 1;
 }
