Divide a cold destination's budget over the fleet, from the first failure on

Cause: slow start was kept by each relay for itself, from figures that are noise to a relay that calls seldom. Excluded: probes and connections ahead (none goes in slow start), bundles (12 in 100 each, measured with and without). Change: src/decision/slow_start.h divides the budget (an equal part of the limit and half of what a relay calls beyond it, seven tenths of the multiple); suspicion from the first failure in fleets of more than five; trials drawn from an exponential distribution; what a restart needs is given out by to_keep() (the host's side follows). The five ColdFleet tests pass.

--- a/src/decision/carry.h
+++ b/src/decision/carry.h
@@ -60,7 +60,7 @@
 
  private:
   using Json = nlohmann::json;
-  static constexpr int form = 4;  // changed with every change of a listed field
+  static constexpr int form = 5;  // changed with every change of a listed field
 
   template <typename Type>
   static Json written(Type&& thing) {
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "decision/carry.h"
+#include "decision/slow_start.h"
 #include "decision/state.h"
 
 namespace rockcrank {
@@ -58,6 +59,7 @@
 
   void retune(const Settings& settings) override {
     set_ = settings;
+    slow_start_ = SlowStart(settings);
     shares_.resize(set_.tenant_rates.size(), {Fading(10000), 0});
     for (std::size_t i = 0; i < shares_.size(); ++i) shares_[i].second = set_.tenant_rates[i] / set_.relays;
   }
@@ -246,6 +248,7 @@
     Call& call = calls_[std::get<0>(found->second)];
     pass(call, Stage::up);
     if (now_ < call.route->told_until || !call.endpoint->open()) return MayBegin::never;
+    if (overtaken(call)) return MayBegin::never;
     // Guards against connections that come up late: by then the destination may have forgotten a mark.
     for (const auto& [transmission, entry] : out_)
       if (auto held = docs_.find(transmission.first); std::get<0>(entry) == std::get<0>(found->second))
@@ -254,6 +257,16 @@
     pass(call, Stage::begun);
     return MayBegin::now;
   }
+  // Guards against a call chosen before its destination was known to be out or in slow start, whose
+  // connection comes up later: the destination's pace has no room for it.
+  bool overtaken(const Call& call) {
+    Route& route = *call.route;
+    if (call.stage == Stage::begun) return false;
+    if (route.mode == Mode::open) return true;
+    bool since_chosen = is_cold(route) ? call.sent < route.cold_since && route.mode == Mode::closed
+                                       : is_suspected(route) && call.sent < route.failing_since;
+    return since_chosen && free_at(route) > now_;
+  }
   Millis pause_after(int failures) override { return varied(ladder(failures)); }
 
   std::vector<Knowledge> knowledge(bool all) override {
@@ -265,6 +278,17 @@
     }
     return known;
   }
+  std::vector<Knowledge> to_keep() override {
+    std::vector<Knowledge> kept;
+    for (auto& [key, route] : routes_) {
+      if (!std::exchange(route.keep, false)) continue;
+      auto one = route.known(key.first, now_, is_cold(route), true);
+      if (is_suspected(route)) one.state = RouteState::down, one.state_age = now_ - route.failed_at;
+      one.own = true;
+      kept.push_back(one);
+    }
+    return kept;
+  }
   // Counts as if seen here then, where nothing newer was. A route that the list has not named gets no call by
   // it, and is forgotten as a document of now would be. Well elsewhere, while it is shut here: its trial goes
   // sooner, at a moment drawn from what a cold destination bears of this relay.
@@ -280,14 +304,22 @@
       route.limit = k.limit, route.left_share = k.left_share, route.hinted_at = met;
     if (k.told_left > 0 && until > route.told_until)
       told_wait(route, route.learnt_until = until, k.left_share < 0.1 && now_ < met + longest_span);
-    if (k.state == RouteState::returning && seen > std::max(back, now_ - set_.warm_within))
-      note_rate(route, k.rate_before), cold_from(route, seen);
+    // Another relay's rate says nothing of this one's part.
+    double own_rate = k.own ? k.rate_before : 0;
+    // Of relays that return one after another each tells of its own trial: the first word of a return counts.
+    bool known = is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
+    if (k.state == RouteState::returning && !known && seen > std::max(back, now_ - set_.warm_within))
+      note_rate(route, own_rate), cold_from(route, seen);
     if (k.state == RouteState::down && !shut && seen >= std::max({route.answered_at, back, oldest})) {
-      note_rate(route, k.rate_before), route.failing_since = std::min(route.failing_since, now_);
+      note_rate(route, own_rate), route.failing_since = std::min(route.failing_since, now_);
       route.bad.add(now_, failures_to_open), open(route), route.down_at = seen;
     } else if (k.state != RouteState::down && route.mode == Mode::open && seen > route.down_at) {
-      Millis own = 1000 / cold_pace(route, std::min(k.state_age, set_.warm_within));
-      route.trial_at = std::min(route.trial_at, now_ + drawn(0, 1) * own), route.down_at = seen;
+      route.down_at = seen;
+      // Once for each outage: the soonest of many draws would be no moment drawn at random.
+      if (std::exchange(route.hastened_at, now_) < route.opened_at) {
+        Millis age = k.state == RouteState::returning ? std::min(k.state_age, set_.warm_within) : 0;
+        route.trial_at = std::min(route.trial_at, now_ + drawn(0, 1) * 1000 / cold_pace(route, age));
+      }
     }
     route.news = news;
   }
@@ -363,12 +395,14 @@
 
   double drawn(double low, double high) { return std::uniform_real_distribution<double>(low, high)(chance_); }
 
+  Millis exponential(Millis mean) { return std::exponential_distribution<double>(1 / mean)(chance_); }
   Millis varied(Millis pause) { return pause * drawn(1 - ladder_jitter, 1 + ladder_jitter); }
 
   void log(const Route& r, const char* what, double a, double b) { done_.log.push_back(r.line(what, a, b)); }
 
   static Millis ladder(int failures) { return ladder_base * std::exp2(std::min(failures, 16) - 1); }
   Millis margin() const { return 2 * set_.tick; }
+  bool is_slow(Route& route) { return is_cold(route) || is_suspected(route); }
   bool is_cold(const Route& route) const { return now_ < route.cold_since + set_.warm_within; }
 
   void pass(Call& call, Stage to) {
@@ -414,9 +448,12 @@
     bool missed = got.ending == Ending::not_connected;
     bool beside = endpoint.calls_out > 1 && call.sent - endpoint.answered_at < 2000;
     bool passed = set_.relays > handful && route.cap_met_at > route.answered_at;
-    bool once = missed && set_.relays > handful && endpoint.cap_met_at <= endpoint.answered_at && !passed &&
-                route.failures_in_row == 0 && got.took < 0.5 * set_.connect_within;
-    if (at_cap || once || ((full || missed) && beside)) {
+    // Where the host tells of its connections, an endpoint at its cap says so in an answer; one that refuses
+    // a connection, or is silent, is out.
+    bool maybe_cap = missed && got.kept < 0 && got.took < 0.5 * set_.connect_within;
+    bool once = maybe_cap && set_.relays > handful && endpoint.cap_met_at <= endpoint.answered_at &&
+                !passed && route.failures_in_row == 0;
+    if (at_cap || once || ((full || maybe_cap) && beside)) {
       endpoint.room = endpoint.calls_out - 1, endpoint.turns_away = at_cap || full;
       if (!full) endpoint.cap_met_at = route.cap_met_at = now_;
       if (now_ > endpoint.room_met_at + longest_span)
@@ -429,7 +466,9 @@
     if (got.ending == Ending::refused) {
       route.refused_in_row += !spent(got.hints) && got.wait <= 0;
       if (now_ > route.paced_at + 300) {
-        double least = std::max(0.3, 0.3 * route.limit / set_.relays);
+        // A floor for each relay alone would sum to more than a small destination takes from a fleet.
+        double part = std::max(route.limit, 1.0) / set_.relays;
+        double least = 0.3 * std::max(part, route.calls.per_second(now_));
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_, route.news |= route.limit > 0;
       }
@@ -457,7 +496,12 @@
       route.bad.add(now_, 1);
       if (++call.endpoint->failures_in_row >= 2) call.endpoint->rests_until = now_ + varied(2 * trial_pause);
     }
-    note_rate(route), route.failing_since = std::min(route.failing_since, now_);
+    bool first = route.failing_since >= never;
+    note_rate(route, 0, &call), route.failing_since = std::min(route.failing_since, now_);
+    // The next try comes at a moment drawn from the time that the slow pace takes for one call, so that the
+    // tries of relays that failed together do not come together.
+    if (first && is_suspected(route)) route.credit = drawn(0, 1), route.credited_at = now_;
+    route.failed_at = now_, route.keep = true;
     // A refusal alone says that the limit is met; only a streak longer than a limit's span tells a shut one.
     bool shut = !waits && now_ - route.failing_since > longest_span;
     if (call.sent < route.opened_at || (refused && route.mode == Mode::closed && !shut)) return;
@@ -468,19 +512,24 @@
   static bool spent(const Hints& hints) { return hints.told && hints.limit > 0 && hints.left_share < 0.1; }
 
   // The relay's own rate before an outage, against which its return is paced.
-  void note_rate(Route& route, double told = 0) {
-    if (!is_cold(route) && route.failing_since >= never)
-      route.rate_before = std::max(told, route.calls.per_second(now_));
+  // Without the call that failed: whoever has just called would else seem to call more often than it does,
+  // and the more so the less it calls.
+  void note_rate(Route& route, double told = 0, const Call* failed = nullptr) {
+    if (is_cold(route) || route.failing_since < never) return;
+    double own = route.calls.per_second(now_);
+    if (failed) own -= route.calls.weight_per_second(now_ - failed->sent);
+    route.rate_before = std::max({0.0, told, own});
   }
   // Where all relays were told the same moment, they do not call in the same instant.
   void cold_from(Route& route, Millis since) {
-    route.cold_since = since, route.credited_at = std::max(now_, since), route.credit = drawn(0, 1);
+    route.cold_since = since, route.keep = true;
+    route.credited_at = std::max(now_, since), route.credit = drawn(0, 1);
   }
 
   // A hold longer than any limit's span is an outage: what it kept back must not burst out at its end.
   bool told_wait(Route& route, Millis until, bool limit_met) {
     if (until <= route.told_until) return route.news;
-    route.told_until = until;
+    route.told_until = until, route.keep = true;
     if (limit_met || until - std::min(now_, route.failing_since) <= longest_span) return true;
     note_rate(route);
     if (!is_cold(route)) log(route, "shut, cold after", until - now_, route.rate_before);
@@ -491,14 +540,18 @@
   void succeeded(Route& route) {
     double failing = route.bad.read(now_) / std::max(1e-3, route.bad.read(now_) + route.good.read(now_) - 1);
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
-    bool shut = now_ - route.failing_since > longest_span && route.refused_in_row >= failures_to_open;
-    bool outage = shut || failing > (route.mode == Mode::closed ? 0.5 : 0.1);
+    bool shut = is_refusing(route);
+    // Answers from before the outage would else outweigh the failures of a relay that calls often.
+    bool outage = shut || route.mode != Mode::closed || failing > 0.5;
     route.refused_in_row = route.failures_in_row = 0;
     // The trial that was answered found it back; the calls that follow must not start its return anew.
-    if (route.failing_since < never && outage && route.mode != Mode::following) {
+    // Nor does a return known since the last failure, as from another relay.
+    bool known = is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
+    if (route.failing_since < never && outage && route.mode != Mode::following && !known) {
       if (!is_cold(route)) log(route, "cold return", route.rate_before, failing);
       route.cold_since = now_, route.news = true;
     }
+    route.keep |= route.failing_since < never;
     if (route.mode == Mode::closed) route.failing_since = never;
     if (route.mode == Mode::trial) route.mode = Mode::following, route.follow_left = follow_calls;
     else if (route.mode == Mode::following && --route.follow_left <= 0) {
@@ -509,9 +562,10 @@
 
   void open(Route& route) {
     if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
-    route.mode = Mode::open, route.opened_at = route.down_at = now_, route.news = true;
+    route.mode = Mode::open, route.opened_at = route.down_at = now_, route.news = route.keep = true;
     Millis own = 1000 / cold_pace(route, 0);
-    route.trial_at = now_ + std::max(varied(trial_pause), own > trial_pause ? drawn(0, 2) * own : 0);
+    route.trial_at =
+        now_ + std::max(varied(trial_pause), own > trial_pause ? std::min(exponential(own), 2 * own) : 0);
   }
 
   void close(Doc& doc) {
@@ -606,19 +660,36 @@
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
     if (is_cold(route)) rate = std::min(rate, cold_pace(route, std::max(0.0, now_ - route.cold_since)));
-    else if (route.refused_in_row > 1 && route.paced_at - route.failing_since > longest_span)
-      rate = std::min(rate, cold_pace(route, 0));
+    if (is_suspected(route)) rate = std::min(rate, suspected_pace(route));
     return rate;
   }
 
-  // What a cold destination bears from this relay, in calls a second at this age of its return.
+  // What a destination in slow start bears from this relay, in calls a second at this age of its return.
   double cold_pace(const Route& route, Millis age) const {
-    double full = std::max(route.rate_before, route.limit / set_.relays);
-    double ramp = set_.start_capacity + (1 - set_.start_capacity) * age / set_.warm_within;
-    // At least one trial in a pause from all relays together.
-    return std::max(full * ramp * std::min(1.6, 0.85 * set_.fall_multiple), 1000 / trial_pause / set_.relays);
+    return slow_start_.rate({route.rate_before, route.limit}, age);
+  }
+  // After a first failure, which is mostly chance, a relay that hardly ever calls there goes by that one
+  // call.
+  double suspected_pace(Route& route) {
+    if (std::max(route.failures_in_row, route.refused_in_row) > 1) return cold_pace(route, 0);
+    double own_rate = std::max(route.rate_before, 0.5 * route.calls.weight_per_second(0));
+    return slow_start_.rate({own_rate, route.limit}, now_ - route.failing_since);
+  }
+
+  // A destination whose calls fail may be out, and may return at any moment: until a call is answered it gets
+  // what it would bear at its return. A first failure alone is mostly chance, so the pace grows after it.
+  bool is_suspected(Route& route) {
+    if (set_.relays <= handful || route.mode != Mode::closed || route.failing_since >= never) return false;
+    double bad = route.bad.read(now_);
+    return bad > 0 ? bad > route.good.read(now_) : is_refusing(route);
+  }
+  // Refusals without a reason: a met limit, or a shut destination. A limit's span tells them apart, but only
+  // for a relay that calls several times within it.
+  bool is_refusing(const Route& route) const {
+    bool calls_seldom = route.rate_before * longest_span < 1000;
+    if (calls_seldom) return route.refused_in_row > 0;
+    return route.refused_in_row > 1 && route.paced_at - route.failing_since > longest_span;
   }
-
   // Calls that the pace allows now; a call takes one.
   double credit(Route& route) {
     route.credit = std::min(1.0, route.credit + pace(route) * std::max(0.0, now_ - route.credited_at) / 1000);
@@ -632,7 +703,7 @@
     if (route.mode == Mode::open) return route.trial_at;
     int most = route.mode == Mode::trial ? 1 : route.mode == Mode::following ? 2 : set_.slots;
     if (route.calls_out >= std::min(most, cap(route)) || now_ + 2 * usual(route) > leave_at_) return never;
-    double rate = pace(route), lacks = 1 - (is_cold(route) ? 0 : 0.3 * rate) - credit(route);
+    double rate = pace(route), lacks = 1 - (is_slow(route) ? 0 : 0.3 * rate) - credit(route);
     return lacks <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * lacks / rate);
   }
 
@@ -766,7 +837,7 @@
     Route& route = *endpoint.route;
     bool joined = joins(endpoint);
     auto& number = bundles_[endpoint.id];
-    if (joined) route.credit -= is_cold(route) ? 0.12 : 0;
+    if (joined) route.credit -= is_slow(route) ? 0.12 : 0;
     else {
       Millis idle = endpoint.calls_out == 0 ? std::max(0.0, now_ - endpoint.idle_since) : 0;
       if (idle > done_.idle_most) done_.closed.push_back({endpoint.id}), idle = 0;
@@ -846,6 +917,7 @@
   };
 
   Settings set_;
+  SlowStart slow_start_{set_};
   std::deque<DocType> types_;
   std::minstd_rand chance_;
   Millis follow_at_ = set_.list_on_request ? 0 : never;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -59,6 +59,7 @@
   Millis tick = 0;
   Millis connect_within = 0;  // a connection not up by then fails
   double fall_multiple = 1;
+  Millis fall_time = 0;
   double start_capacity = 1;
   Millis warm_within = 0;
   Millis order_rest = 0;
@@ -161,6 +162,7 @@
 enum class RouteState : std::uint8_t { well, down, returning };
 struct Knowledge {
   bool apart = false;       // the route is one endpoint, else all of a destination
+  bool own = false;         // learnt by this relay itself, before its restart
   std::uint64_t route = 0;  // EndpointId or DestinationId
   Millis told_left = 0;     // until a told wait ends; 0: none
   RouteState state = RouteState::well;
@@ -213,6 +215,9 @@
   // not given out again by knowledge(false).
   virtual std::vector<Knowledge> knowledge(bool all) = 0;
   virtual void learn(const Knowledge& known) = 0;
+  // What the host keeps for this relay's next process, for learn(): of the routes that are told to wait, out,
+  // suspected to be, or in slow start, or that no longer are, since it was last asked.
+  virtual std::vector<Knowledge> to_keep() = 0;
   // Whether a connection that no document asks for may be opened to the endpoint now: not under a told wait,
   // shut, returning cold, at a met connection cap, out or gone, nor one more than leaves others their part.
   // up: how many this relay has there, idle ones counted.
--- a/src/decision/slow_start.cpp
+++ b/src/decision/slow_start.cpp
@@ -6,12 +6,10 @@
 namespace rockcrank {
 namespace {
 
-// Of the allowed multiple, what is left for chance: calls of relays that decide alone come at random, so that
-// some spans hold more than the mean.
-constexpr double used_of_multiple = 0.85;
-constexpr double most_of_capacity = 1.6;
-// A rough limit may be told up to half too high.
-constexpr double rough_limit_most = 1.5;
+// Of the allowed multiple. With the sums of full_rate() and a capacity that is a little more than the limit,
+// the calls of all relays come to 0.6 to 0.9 of what is allowed in the mean. The rest, with the slack for
+// chance that the rule adds, is for spans that hold more: relays that decide alone call at random moments.
+constexpr double used_of_multiple = 0.7;
 // All relays together try a destination at least once in this time.
 constexpr double seconds_between_trials = 1;
 // A relay's own part may go beyond its steady rate by the calls of one moment: the credit for one call, a
@@ -23,7 +21,7 @@
 SlowStart::SlowStart(const Settings& settings)
     : relays_(settings.relays),
       start_capacity_(settings.start_capacity),
-      allowed_share_(std::min(most_of_capacity, used_of_multiple * settings.fall_multiple)),
+      allowed_share_(used_of_multiple * settings.fall_multiple),
       warm_within_(settings.warm_within) {}
 
 double SlowStart::capacity_share(Millis age) const {
@@ -31,13 +29,14 @@
   return start_capacity_ + (1 - start_capacity_) * std::clamp(age / warm_within_, 0.0, 1.0);
 }
 
-// Where the limit is known, the mean of the relay's own rate and its equal part of the limit: over the fleet
-// the rates sum to the traffic and the parts to the limit, so the sum stays under the larger of the two. The
-// larger of both for each relay would sum to up to twice as much.
+// Where the limit is known: an equal part of it, and half of what a relay that calls more often went beyond
+// that. Over the fleet the parts sum to the limit and the halves to no more than half of the traffic, however
+// it is spread, so the sum stays under one and a half times the limit. Where no limit is known the relays'
+// own rates sum to the traffic.
 double SlowStart::full_rate(const SlowStartInput& input) const {
   if (input.limit <= 0) return input.own_rate;
-  double limit = input.limit_is_rough ? input.limit / rough_limit_most : input.limit;
-  return (std::min(input.own_rate, limit) + limit / relays_) / 2;
+  double part = input.limit / relays_;
+  return part + std::max(0.0, std::min(input.own_rate, input.limit) - part) / 2;
 }
 
 double SlowStart::rate(const SlowStartInput& input, Millis age) const {
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -14,7 +14,6 @@
 struct SlowStartInput {
   double own_rate = 0;  // calls a second of this relay before the outage, those that failed not counted
   double limit = 0;     // calls a second that the destination takes from all relays; 0: not known
-  bool limit_is_rough = false;
 };
 
 class SlowStart {
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -43,6 +43,8 @@
     return sum_;
   }
   double per_second(Millis now) { return read(now) * 1000 / span_; }
+  // What one thing added so long ago still counts for.
+  double weight_per_second(Millis ago) const { return std::exp(-ago / span_) * 1000 / span_; }
   auto fields() { return std::tie(at_, sum_); }
 
  private:
@@ -63,13 +65,17 @@
   Millis paced_at = -never, credited_at = 0;
   Millis answered_at = -never, cap_met_at = -never;  // the last of its endpoints
   Millis down_at = -never;                           // the newest failure that opened it, here or elsewhere
+  Millis failed_at = -never;                         // the newest failure seen here
+  Millis hastened_at = -never;                       // its trial was drawn sooner, by what another relay told
   Millis learnt_at = -never, learnt_until = -never;  // from another relay: anything; a told wait
   bool news = false;                                 // for other relays
+  bool keep = false;                                 // for this relay's next process
   auto fields() {
     return std::tie(name, bundle_max, limit, left_share, hinted_at, told_until, mode, endpoints,
                     failures_in_row, refused_in_row, follow_left, calls_out, opened_at, trial_at,
                     failing_since, cold_since, rate_before, own_pace, patience, credit, paced_at, credited_at,
-                    answered_at, cap_met_at, down_at, learnt_at, learnt_until, news);
+                    answered_at, cap_met_at, down_at, failed_at, hastened_at, learnt_at, learnt_until, news,
+                    keep);
   }
 
   std::string line(const char* what, double a, double b) const {  // of the log
@@ -85,7 +91,8 @@
   // As other relays are told: a met limit without hints has nothing left; a wait that another relay told is
   // not told on, as on its way it would grow.
   Knowledge known(bool apart, Millis now, bool cold, bool all) const {
-    Knowledge to{apart, name};
+    Knowledge to;
+    to.apart = apart, to.route = name;
     bool down = mode == Mode::open || mode == Mode::trial, returning = cold && cold_since <= now;
     if (all || told_until > learnt_until) to.told_left = std::max(0.0, told_until - now);
     to.state = down ? RouteState::down : returning ? RouteState::returning : RouteState::well;
--- a/src/model/cold_fleet.cpp
+++ b/src/model/cold_fleet.cpp
@@ -32,8 +32,8 @@
 
 class ColdFleet {
  public:
-  ColdFleet(const ColdScenario& scenario, std::uint64_t seed, bool steady_extra)
-      : scenario_(scenario), chance_(seed * 2 + 1), steady_extra_(steady_extra) {
+  ColdFleet(const ColdScenario& scenario, std::uint64_t seed, const ColdOptions& options)
+      : scenario_(scenario), chance_(seed * 2 + 1), options_(options) {
     settings_.relays = static_cast<int>(scenario_.relay_rates.size());
     settings_.slots = 20;
     settings_.max_transmissions = 12;
@@ -94,11 +94,10 @@
   struct Relay {
     std::unique_ptr<Decision> decision;
     std::map<DocId, Held> held;
-    std::vector<Knowledge> knew;  // as its folder has it
+    std::map<std::uint64_t, std::pair<Knowledge, Millis>> kept;  // by route: as its folder has it, since when
     std::uint64_t life = 0, wake = 0;
     bool runs = true;
-    Millis died_at = 0;
-    Millis told_at = -1;  // a call failed there, or another relay told of it; negative: not told
+    Millis told_at = -1;  // a call failed there in an outage, or another relay told of it; negative: not told
     int connections = 0;
   };
   // One call of a relay, with one or more messages.
@@ -113,6 +112,13 @@
     bool was_told;
   };
 
+  void trace(std::size_t relay, const std::string& text) {
+    if (!options_.trace) return;
+    char moment[60];
+    std::snprintf(moment, sizeof moment, "%9.0f relay %zu%s: ", now_, relay,
+                  outage_at(now_) ? " (outage)" : "");
+    *options_.trace += moment + text + "\n";
+  }
   bool limits_listed() const {
     return scenario_.limit_known == LimitKnown::listed || scenario_.limit_known == LimitKnown::listed_roughly;
   }
@@ -135,6 +141,12 @@
       if (when >= outage.to) last = outage.to;
     return last;
   }
+  Millis last_outage_began(Millis when) const {
+    Millis last = 0;
+    for (const auto& outage : scenario_.outages)
+      if (when >= outage.from) last = outage.from;
+    return last;
+  }
   double capacity_at(Millis when) const {
     Millis returned = return_before(when);
     double age = returned < 0 ? 1 : std::clamp((when - returned) / scenario_.warm_within, 0.0, 1.0);
@@ -171,7 +183,11 @@
     if (!relay.runs) return;
     relay.decision->begin(now_);
     if (event.kind == Event::arrival) arrive(relay);
-    if (event.kind == Event::outcome) end_call(relay, calls_[event.number]);
+    if (event.kind == Event::outcome) {
+      trace(event.relay, "end " + std::to_string(event.number) + " " +
+                             std::to_string(static_cast<int>(calls_[event.number].outcome.ending)));
+      end_call(relay, calls_[event.number]);
+    }
     if (event.kind == Event::connected) connected(event.relay, event.number);
     if (event.kind == Event::learnt) learn(relay, learnt_[event.number]);
     if (event.kind == Event::open_ahead) open_ahead(event.relay);
@@ -202,8 +218,8 @@
 
   void end_call(Relay& relay, const Call& call) {
     bool answered = call.outcome.ending == Ending::answered;
-    if (!answered && call.outcome.ending != Ending::not_sent && outage_at(call.sent) && relay.told_at < 0)
-      relay.told_at = now_;
+    if (!answered && call.outcome.ending != Ending::not_sent && outage_at(call.sent))
+      relay.told_at = std::max(relay.told_at, call.sent);
     for (auto [doc, transmission] : call.messages) {
       Outcome outcome = call.outcome;
       outcome.doc = doc;
@@ -215,16 +231,14 @@
   }
 
   void learn(Relay& relay, const Knowledge& known) {
-    if (known.state != RouteState::well && relay.told_at < 0) relay.told_at = now_;
+    if (known.state == RouteState::down) relay.told_at = std::max(relay.told_at, now_ - known.state_age);
     relay.decision->learn(known);
   }
 
   void kill(std::size_t i) {
     Relay& relay = relays_[i];
     if (!relay.runs) return;
-    relay.decision->begin(now_);
-    relay.knew = relay.decision->knowledge(true);
-    relay.died_at = now_;
+    trace(i, "killed");
     ++relay.life, relay.connections = 0, relay.runs = false;
     relay.decision.reset();
   }
@@ -233,13 +247,14 @@
   void start_again(std::size_t i, bool folder_kept) {
     Relay& relay = relays_[i];
     if (relay.runs) return;
-    if (!folder_kept) relay.held.clear(), relay.knew.clear(), relay.told_at = -1;
+    if (!folder_kept) relay.held.clear(), relay.kept.clear(), relay.told_at = -1;
     start(i, now_);
-    for (Knowledge known : relay.knew) {
-      Millis gone = now_ - relay.died_at;
-      known.told_left = std::max(0.0, known.told_left - gone);
-      known.state_age += gone;
-      known.limit_age += gone;
+    for (const auto& [route, entry] : relay.kept) {
+      auto [known, kept_at] = entry;
+      Millis ago = now_ - kept_at;
+      known.told_left = std::max(0.0, known.told_left - ago);
+      known.state_age += ago;
+      known.limit_age += ago;
       relay.decision->learn(known);
     }
     for (auto& [id, held] : relay.held)
@@ -256,13 +271,15 @@
     schedule(now_ + open_ahead_every, Event::open_ahead, i);
   }
 
-  void reached(const Relay& relay) { reached_.push_back({now_, relay.told_at >= 0}); }
+  void reached(const Relay& relay) { reached_.push_back({now_, relay.told_at >= last_outage_began(now_)}); }
 
   void decide(std::size_t i) {
     Relay& relay = relays_[i];
     Decided done = relay.decision->decide();
     for (const auto& rejected : done.rejected) relay.held.erase(rejected.doc);
     for (DocId doc : done.abandoned) relay.held.erase(doc);
+    for (const auto& line : done.log) trace(i, line);
+    for (const auto& known : relay.decision->to_keep()) relay.kept[known.route] = {known, now_};
     send(i, done.transmitted);
     if (scenario_.relays_talk)
       for (const auto& known : relay.decision->knowledge(false)) tell_all(i, known);
@@ -304,6 +321,7 @@
     call.life = relay.life;
     call.sent = now_;
     call.outcome.endpoint = transmit.endpoint;
+    call.outcome.kept = scenario_.host_knows_connections ? 0 : -1;
     call.outcome.took = transmit.time_out;  // until it is known how it ends
     return call;
   }
@@ -330,6 +348,7 @@
     Millis connecting = now_ - call.sent;
     Outcome& outcome = call.outcome;
     reached(relays_[i]);
+    trace(i, "call " + std::to_string(number));
     const Outage* outage = outage_at(now_);
     outcome.ending = Ending::answered;
     Millis took = scenario_.call_time;
@@ -400,7 +419,7 @@
         ++span.calls, span.told += reached_[last].was_told;
       }
       span.budget = budget_from(from);
-      bool small = !steady_extra_ && span.budget < small_budget;
+      bool small = !options_.steady_extra && span.budget < small_budget;
       span.allowed = span.budget + (small ? 3 : 2) * std::sqrt(span.budget) + (small ? 3 : 2);
       span.since_return = from - return_before(from);
       auto rank = [](const ColdSpan& one) { return std::pair(one.breaks_rule(), one.over()); };
@@ -418,7 +437,7 @@
 
   const ColdScenario scenario_;
   Chance chance_;
-  const bool steady_extra_;
+  const ColdOptions options_;
   Settings settings_;
   std::vector<Relay> relays_;
   std::priority_queue<Event> events_;
@@ -437,8 +456,10 @@
   for (int i = 0; i < count; ++i) {
     Outage outage;
     outage.from = from;
-    outage.to = from + std::exp(drawn(chance, std::log(3000), std::log(30000)));
     outage.kind = odds(chance, 0.8) ? kind : OutageKind(static_cast<int>(drawn(chance, 0, 6)));
+    // Refusals of a few seconds are a met limit, as far as anybody can tell who is not told why.
+    Millis shortest = outage.kind == OutageKind::refuses_calls ? 5000 : 3000;
+    outage.to = from + std::exp(drawn(chance, std::log(shortest), std::log(30000)));
     if (outage.kind == OutageKind::fails_most) outage.failing_share = drawn(chance, 0.6, 1);
     scenario.outages.push_back(outage);
     from = outage.to + drawn(chance, 1500, 1.2 * scenario.warm_within);
@@ -492,12 +513,12 @@
   std::snprintf(
       text, sizeof text,
       "%zu relays, %zu restarts%s, outages: %s; limit %.1f/s (%s), capacity %.1f/s from %.2f within %.1f s, "
-      "multiple %.1f in %.1f s, bundles of %d, %d endpoints, late connections %.2f%s%s, quiet %zu",
+      "multiple %.1f in %.1f s, bundles of %d, %d endpoints, late connections %.2f%s%s%s, quiet %zu",
       relay_rates.size(), restarts.size(),
       !restarts.empty() && !restarts[0].folder_kept ? " without folder" : "", kinds.c_str(), limit,
       limits[static_cast<int>(limit_known)], capacity, start_capacity, warm_within / 1000, fall_multiple,
       fall_time / 1000, bundle_max, endpoints, late_connections, turns_away_excess ? ", turns away" : "",
-      relays_talk ? ", relays talk" : "",
+      host_knows_connections ? "" : ", host knows no connections", relays_talk ? ", relays talk" : "",
       static_cast<std::size_t>(std::count(quiet.begin(), quiet.end(), true)));
   return text;
 }
@@ -526,6 +547,7 @@
   }
   scenario.turns_away_excess = odds(chance, 0.4);
   scenario.relays_talk = odds(chance, 0.15);
+  scenario.host_knows_connections = odds(chance, 0.7);
   std::lognormal_distribution<double> skew(0, drawn(chance, 0, 1));  // some relays see several times the mean
   double sum = 0;
   for (int i = 0; i < relays; ++i) sum += scenario.relay_rates.emplace_back(skew(chance));
@@ -537,8 +559,8 @@
   return scenario;
 }
 
-ColdReport play_cold(const ColdScenario& scenario, std::uint64_t seed, bool steady_extra) {
-  return ColdFleet(scenario, seed, steady_extra).play();
+ColdReport play_cold(const ColdScenario& scenario, std::uint64_t seed, const ColdOptions& options) {
+  return ColdFleet(scenario, seed, options).play();
 }
 
 }  // namespace rockcrank::model
--- a/src/model/cold_fleet.h
+++ b/src/model/cold_fleet.h
@@ -51,10 +51,11 @@
   LimitKnown limit_known = LimitKnown::no;
   int endpoints = 1;
   int bundle_max = 1;
-  double late_connections = 0;      // share of calls whose connection comes up late
-  Millis late_connection_most = 0;  // by at most so much
-  bool turns_away_excess = false;   // calls above the present capacity are refused
-  bool relays_talk = false;         // what one relay learns reaches all others
+  double late_connections = 0;         // share of calls whose connection comes up late
+  Millis late_connection_most = 0;     // by at most so much
+  bool turns_away_excess = false;      // calls above the present capacity are refused
+  bool host_knows_connections = true;  // whether a call went on a new connection, as on sockets
+  bool relays_talk = false;            // what one relay learns reaches all others
   std::vector<Outage> outages;
   std::vector<Restart> restarts;
   std::string told() const;  // one line
@@ -82,7 +83,10 @@
 };
 
 ColdScenario draw_cold_scenario(std::uint64_t seed, int relays);  // relays: 2 to 900
-// steady_extra: the slack above N is 2 sqrt(N) + 2 for every N, as the older tests have it.
-ColdReport play_cold(const ColdScenario& scenario, std::uint64_t seed, bool steady_extra = false);
+struct ColdOptions {
+  bool steady_extra = false;     // the slack above N is 2 sqrt(N) + 2 for every N, as older tests have it
+  std::string* trace = nullptr;  // gets a line for each call, end and log line of a module
+};
+ColdReport play_cold(const ColdScenario& scenario, std::uint64_t seed, const ColdOptions& options = {});
 
 }  // namespace rockcrank::model
--- a/src/model/cold_run.cpp
+++ b/src/model/cold_run.cpp
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+std::string trace_cold_return(std::uint64_t seed, int relays) {
+  std::string trace;
+  play_cold(draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed)), seed, {false, &trace});
+  return trace;
+}
+
 bool tell_cold_returns(std::uint64_t first, std::uint64_t last, int relays, int threads, bool go_on) {
   std::vector<Play> plays(last - first + 1);
   std::atomic<std::uint64_t> next = first;
--- a/src/model/cold_run.h
+++ b/src/model/cold_run.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace rockcrank::model {
 
@@ -9,4 +10,7 @@
 // the rule (the first one only, unless told to go on), then the worst spans. True: all hold.
 bool tell_cold_returns(std::uint64_t first, std::uint64_t last, int relays, int threads, bool go_on);
 
+// One play, told line by line.
+std::string trace_cold_return(std::uint64_t seed, int relays);
+
 }  // namespace rockcrank::model
--- a/src/model/main.cpp
+++ b/src/model/main.cpp
@@ -99,12 +99,17 @@
     go_on = given.count("on") > 0;
     if (given.count("trace")) {
       trace_file = given["trace"].as<std::string>();
-      if (first != last || chosen.size() != 1) throw BadArguments("--trace: one seed and one part");
+      if (first != last || chosen.size() + cold_returns != 1) throw BadArguments("--trace: one seed and one part");
     }
   } catch (const std::exception& error) {
     std::fprintf(stderr, "rockcrank_model: %s\n%s", error.what(), options.help().c_str());
     return 2;
   }
+  if (!trace_file.empty() && cold_returns) {
+    std::ofstream file(trace_file, std::ios::binary);
+    file << trace_cold_return(first, order.relays);
+    return file.flush() ? 0 : 2;
+  }
   if (!trace_file.empty()) {
     auto result = run_seed(*chosen[0], first, order, true);
     std::ofstream file(trace_file, std::ios::binary);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -114,6 +114,7 @@
   settings.tick = pairs.time("tickUs");
   settings.connect_within = pairs.time("limits.dialTimeoutUs");
   settings.fall_multiple = pairs.number("rules.fallMultiple", 1);
+  settings.fall_time = pairs.time("rules.fallUs");
   settings.start_capacity = pairs.number("rules.startCapacity", 1);
   settings.warm_within = pairs.time("rules.warmWithinUs");
   settings.order_rest = pairs.time("rules.orderSettleUs");
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -781,6 +781,7 @@
   MayBegin may_begin(DocId, int) override { return MayBegin::now; }
   Millis pause_after(int) override { return 1; }
   std::vector<Knowledge> knowledge(bool) override { return {}; }
+  std::vector<Knowledge> to_keep() override { return {}; }
   void learn(const Knowledge&) override {}
 };
 
--- a/tests/model/cold_fleet_test.cpp
+++ b/tests/model/cold_fleet_test.cpp
@@ -82,7 +82,7 @@
     for (bool limits_listed : {false, true})
       for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         ColdScenario scenario = scenario_of(played, relays, limits_listed, seed);
-        ColdReport report = play_cold(scenario, seed, true);
+        ColdReport report = play_cold(scenario, seed, {true, nullptr});
         EXPECT_GT(report.calls, 0) << scenario.told() << ", seed " << seed;
         bool holds = bound == Bound::rule ? !report.worst.breaks_rule() : report.worst.over() <= 0;
         EXPECT_TRUE(holds) << scenario.told() << ", seed " << seed << ": " << told(report.worst);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -168,7 +168,8 @@
       const std::map<std::string, RouteState> states{
           {"well", RouteState::well}, {"down", RouteState::down}, {"returning", RouteState::returning}};
       k.state = states.at(words.count("state") ? words.at("state") : "well"), k.state_age = of("age", 1e9);
-      k.rate_before = of("before"), k.limit = of("limit"), k.left_share = of("share", 1);
+      k.own = of("own") > 0, k.rate_before = of("before"), k.limit = of("limit"),
+      k.left_share = of("share", 1);
       k.limit_age = of("limit_age");
       auto owner = k.apart ? 1000 + k.route : k.route;
       waits_[owner] = std::max(waits_[owner], now_ + k.told_left);
