--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -176,6 +176,7 @@
         Millis pause = ladder(++doc.failures);
         doc.not_before = now_ + (got.ending == Ending::refused ? drawn(0, 2) * pause : varied(pause));
         if (got.wait > 0 && !choose(doc, set_.slots + 1)) doc.not_before += got.wait;
+        note_failed_attempt(doc, got, *call.route);
       }
     }
     if (call.docs == 0) calls_.erase(call_number);
@@ -245,21 +246,33 @@
   MayBegin may_begin(DocId doc, int transmission) override {
     auto found = out_.find({doc, transmission});
     if (found == out_.end()) return MayBegin::never;
-    Call& call = calls_[std::get<0>(found->second)];
+    const std::uint64_t number = std::get<0>(found->second);
+    Call& call = calls_[number];
     pass(call, Stage::up);
-    if (now_ < call.route->told_until || !call.endpoint->open()) return MayBegin::never;
-    if (overtaken(call)) return MayBegin::never;
-    // Guards against connections that come up late: by then the destination may have forgotten a mark.
-    for (const auto& [transmission, entry] : out_)
-      if (auto held = docs_.find(transmission.first); std::get<0>(entry) == std::get<0>(found->second))
-        if (held != docs_.end() && !marked(held->second, now_)) return MayBegin::never;
+    if (const char* reason = overtaken_by(call, number)) {
+      ++counters_.not_begun;
+      log(*call.route, (std::string("not_begun reason=") + reason).c_str(), {{"message", double(doc)}});
+      return MayBegin::never;
+    }
     if (begun_ >= set_.slots) return MayBegin::later;
     pass(call, Stage::begun);
+    if (auto held = docs_.find(doc); held != docs_.end()) check_writing(held->second, *call.endpoint);
     return MayBegin::now;
   }
+  // What came between a call's choice and the moment at which its connection is up, or null.
+  const char* overtaken_by(const Call& call, std::uint64_t number) {
+    if (now_ < call.route->told_until) return "told_wait";
+    if (!call.endpoint->open()) return "closed_endpoint";
+    if (is_out_since(call)) return "slow_start";
+    // Guards against connections that come up late: by then the destination may have forgotten a mark.
+    for (const auto& [transmission, entry] : out_)
+      if (auto held = docs_.find(transmission.first); std::get<0>(entry) == number)
+        if (held != docs_.end() && !marked(held->second, now_)) return "window";
+    return nullptr;
+  }
   // Guards against a call chosen before its destination was known to be out or in slow start, whose
   // connection comes up later: the destination's pace has no room for it.
-  bool overtaken(const Call& call) {
+  bool is_out_since(const Call& call) {
     Route& route = *call.route;
     if (call.stage == Stage::begun) return false;
     if (route.mode == Mode::open) return true;
@@ -267,6 +280,7 @@
                                        : is_suspected(route) && call.sent < route.failing_since;
     return since_chosen && free_at(route) > now_;
   }
+  const Counters& counters() const override { return counters_; }
   Millis pause_after(int failures) override { return varied(ladder(failures)); }
 
   std::vector<Knowledge> knowledge(bool all) override {
@@ -338,6 +352,7 @@
   }
 
   Decided decide() override {
+    if (held_at_start_ < 0) held_at_start_ = static_cast<int>(docs_.size());
     done_.idle_most = idle_breaks_.read(now_) > 1.2 ? idle_limit_ : never;
     for (auto& [id, to] : destinations_) {
       if (to.docs == 0) continue;
@@ -369,6 +384,7 @@
         for (auto& [grade, doc] : waiting_)
           if (doc && (this->*rule.when)(*doc)) {
             DocId id = doc->id;
+            reason_ = rule.name;
             (this->*rule.then)(*doc), fired = true;
             if (!docs_.count(id)) doc = nullptr;
           }
@@ -398,7 +414,9 @@
   Millis exponential(Millis mean) { return std::exponential_distribution<double>(1 / mean)(chance_); }
   Millis varied(Millis pause) { return pause * drawn(1 - ladder_jitter, 1 + ladder_jitter); }
 
-  void log(const Route& r, const char* what, double a, double b) { done_.log.push_back(r.line(what, a, b)); }
+  void log(const Route& route, const char* event, std::initializer_list<RouteMarks::Field> fields) {
+    done_.log.push_back(route.line(event, fields));
+  }
 
   static Millis ladder(int failures) { return ladder_base * std::exp2(std::min(failures, 16) - 1); }
   Millis margin() const { return 2 * set_.tick; }
@@ -457,7 +475,8 @@
       endpoint.room = endpoint.calls_out - 1, endpoint.turns_away = at_cap || full;
       if (!full) endpoint.cap_met_at = route.cap_met_at = now_;
       if (now_ > endpoint.room_met_at + longest_span)
-        log(route, full ? "queue full" : "connections full", endpoint.room, endpoint.calls_out);
+        log(route, full ? "queue_full" : "connections_full",
+            {{"held_to", endpoint.room}, {"calls_out", endpoint.calls_out}});
       // What was refused together must not come again together: a hold is drawn from all of itself.
       endpoint.room_met_at = now_ + (once ? drawn(-1, 1) * room_hold : 0);
       return;
@@ -482,12 +501,26 @@
     if (!call.overdue) failed(call, got.ending == Ending::refused, got.wait > 0);
   }
 
+  void note_failed_attempt(const Doc& doc, const Outcome& got, const Route& route) {
+    static const char* const endings[] = {"answered",      "error",  "refused",    "timed_out",
+                                          "not_connected", "broken", "called_off", "not_sent"};
+    char text[200];
+    std::snprintf(text, sizeof text,
+                  "event=attempt_failed message=%llu attempt=%d route=%llx breaker=%s ending=%s took_ms=%.0f "
+                  "wait_ms=%.0f next_try_ms=%.0f",
+                  0ULL + static_cast<std::uint64_t>(doc.id), got.transmission, 0ULL + route.name,
+                  route.mode_name(), endings[static_cast<int>(got.ending)], got.took, got.wait,
+                  doc.not_before - now_);
+    done_.log.push_back(text);
+  }
+
   // Calls that break at one destination after another, each on a kept connection: something on the way drops
   // connections. For a while those idle for as long are closed before use; a new one costs.
   void broke_idle(const Route& route, Millis idle) {
     if (idle > 500) idle_limit_ = std::min(idle_breaks_.read(now_) < 0.2 ? never : idle_limit_, 0.9 * idle);
     idle_breaks_.add(now_, 1), idle_broken_ = route.name;
-    if (idle_breaks_.read(now_) < 3) log(route, "idle connection broke", idle, idle_breaks_.read(now_));
+    if (idle_breaks_.read(now_) < 3)
+      log(route, "idle_connection_broke", {{"idle_ms", idle}, {"lately", idle_breaks_.read(now_)}});
   }
 
   void failed(Call& call, bool refused, bool waits) {
@@ -532,7 +565,8 @@
     route.told_until = until, route.keep = true;
     if (limit_met || until - std::min(now_, route.failing_since) <= longest_span) return true;
     note_rate(route);
-    if (!is_cold(route)) log(route, "shut, cold after", until - now_, route.rate_before);
+    if (!is_cold(route))
+      log(route, "shut_cold_after", {{"wait_ms", until - now_}, {"rate_before", route.rate_before}});
     cold_from(route, until);
     return true;
   }
@@ -548,7 +582,9 @@
     // Nor does a return known since the last failure, as from another relay.
     bool known = is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
     if (route.failing_since < never && outage && route.mode != Mode::following && !known) {
-      if (!is_cold(route)) log(route, "cold return", route.rate_before, failing);
+      if (!is_cold(route))
+        log(route, "cold_return", {{"rate_before", route.rate_before}, {"failing", failing}}),
+            ++counters_.cold_returns;
       route.cold_since = now_, route.news = true;
     }
     route.keep |= route.failing_since < never;
@@ -556,12 +592,15 @@
     if (route.mode == Mode::trial) route.mode = Mode::following, route.follow_left = follow_calls;
     else if (route.mode == Mode::following && --route.follow_left <= 0) {
       route.mode = Mode::closed, route.failing_since = never, route.news = true;
-      log(route, "breaker closed", now_ - route.opened_at, failing);
+      log(route, "breaker_closed", {{"open_ms", now_ - route.opened_at}, {"failing", failing}});
     }
   }
 
   void open(Route& route) {
-    if (route.mode == Mode::closed) log(route, "breaker open", route.failures_in_row, route.bad.read(now_));
+    if (route.mode == Mode::closed) {
+      ++counters_.breakers_opened;
+      log(route, "breaker_open", {{"failures", route.failures_in_row}, {"failing", route.bad.read(now_)}});
+    }
     route.mode = Mode::open, route.opened_at = route.down_at = now_, route.news = route.keep = true;
     Millis own = 1000 / cold_pace(route, 0);
     route.trial_at =
@@ -813,17 +852,39 @@
   }
   void end(Doc& doc) {
     Millis wait = std::min(free_at(*doc.to) - now_, set_.reject_wait_max);  // told the client
-    if (may_reject(doc)) done_.rejected.push_back({doc.id, wait});
+    bool rejected = may_reject(doc);
+    if (rejected) done_.rejected.push_back({doc.id, wait});
     else done_.abandoned.push_back(doc.id);
+    note_end(doc, rejected);
     if (doc.ordered && set_.ends_acknowledged) lanes_[doc.key].untold.insert(doc.id);
     close(doc);
   }
 
+  void note_end(const Doc& doc, bool rejected) {
+    ++(rejected ? counters_.rejected : counters_.abandoned);
+    bool harmless = doc.type->repeat == Repeat::replayable || !doc.may_have_run() ||
+                    (doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere);
+    bool safe = !rejected || (harmless && (doc.out == 0 || doc.type->repeat == Repeat::replayable));
+    bool in_time = now_ <= doc.expiry;
+    counters_.invariants.violated(Invariant::safe_rejection, safe);
+    counters_.invariants.violated(Invariant::deadline, in_time);
+    char text[200];
+    std::snprintf(
+        text, sizeof text,
+        "event=%s message=%llu destination=%llu reason=\"%s\" attempts=%d failures=%d left_ms=%.0f%s%s",
+        rejected ? "rejected" : "abandoned", 0ULL + static_cast<std::uint64_t>(doc.id),
+        0ULL + static_cast<std::uint64_t>(doc.destination), reason_, doc.tries, doc.failures,
+        doc.expiry - now_, safe ? "" : " violation=safe_rejection", in_time ? "" : " violation=deadline");
+    done_.log.push_back(text);
+  }
+
   // A full room turns away fresh documents at the door, as when a destination with much traffic is down. A
   // tenth is kept free: documents that have lost all they can lose make way, those nearest to expiry first.
   bool crowds_out(Doc& doc) {
-    return set_.room > 0 && static_cast<double>(docs_.size()) > 0.9 * set_.room && doc.out == 0 &&
-           may_reject(doc) && std::get<0>(urgency(doc)) >= 2;
+    // Guards against giving up what a restart found, where that is more than the room is now.
+    double most = std::max(0.9 * set_.room, static_cast<double>(held_at_start_));
+    return set_.room > 0 && static_cast<double>(docs_.size()) > most && doc.out == 0 && may_reject(doc) &&
+           std::get<0>(urgency(doc)) >= 2;
   }
 
   bool is_ready(const Doc& doc) const { return doc.out == 0 && now_ >= doc.not_before; }
@@ -836,6 +897,7 @@
     Endpoint& endpoint = *choose(doc, set_.slots);
     Route& route = *endpoint.route;
     bool joined = joins(endpoint);
+    check_send(doc, endpoint, !joined);
     auto& number = bundles_[endpoint.id];
     if (joined) route.credit -= is_slow(route) ? 0.12 : 0;
     else {
@@ -855,6 +917,36 @@
     ++doc.tries, ++doc.out;
   }
 
+  // The run-time check of a send, at the moment of its decision or, once more, of its writing.
+  void check_send(const Doc& doc, const Endpoint& endpoint, bool new_call) {
+    Route& route = *endpoint.route;
+    if (new_call) {
+      ++counters_.attempts, counters_.trials += route.mode == Mode::trial;
+      if (is_slow(route)) {
+        ++counters_.slow_start_attempts;
+        bool over = route.slow_start_monitor.sent(now_, pace(route), set_.fall_time);
+        check(Invariant::slow_start, !over, route, doc.id);
+      }
+    }
+    counters_.retried_messages += doc.tries > 0;
+    bool first_of_key = !doc.ordered || (*lanes_[doc.key].waiting.begin() == doc.turn_taken &&
+                                         lanes_[doc.key].untold.empty());
+    check(Invariant::message_order, first_of_key, route, doc.id);
+    check(Invariant::single_attempt, doc.out == 0 && doc.tries < doc.most && marked(doc, now_), route,
+          doc.id);
+    check_writing(doc, endpoint);
+  }
+  void check_writing(const Doc& doc, const Endpoint& endpoint) {
+    check(Invariant::told_wait, now_ >= endpoint.route->told_until, *endpoint.route, doc.id);
+    check(Invariant::closed_endpoint, endpoint.open(), *endpoint.route, doc.id);
+    check(Invariant::deadline, now_ < doc.expiry, *endpoint.route, doc.id);
+  }
+  void check(Invariant invariant, bool holds, const Route& route, DocId doc) {
+    if (!counters_.invariants.violated(invariant, holds)) return;
+    std::string event = std::string("violation rule=") + name_of(invariant);
+    log(route, event.c_str(), {{"message", static_cast<double>(doc)}, {"calls_out", route.calls_out}});
+  }
+
   // Slots taken by calls far overdue at hung destinations starve the healthy ones. While a document waits for
   // a slot only, the call furthest overdue is called off; a binding document is lost with it.
   bool wants_slot(Doc& doc) {
@@ -879,7 +971,8 @@
     for (auto& [transmission, entry] : out_)
       if (&calls_[std::get<0>(entry)] == call)
         done_.called_off.push_back({transmission.first, transmission.second});
-    log(*call->route, "called off for want of a slot", now_ - call->sent, calls_out_);
+    ++counters_.called_off;
+    log(*call->route, "called_off", {{"age_ms", now_ - call->sent}, {"calls_out", calls_out_}});
     overdue_ = furthest_overdue();
   }
 
@@ -938,6 +1031,9 @@
   std::vector<std::pair<Fading, double>> shares_;
   std::vector<std::pair<Grade, Doc*>> waiting_;
   Decided done_;
+  Counters counters_;
+  int held_at_start_ = -1;   // documents that were there in the first turn
+  const char* reason_ = "";  // the rule that is being carried out
   Fading idle_breaks_{30000}, unconnected_{30000}, again_good_{20000}, again_bad_{20000};  // again: see count
   std::set<EndpointId> used_, outs_;  // calls there ended this turn; taken out by staff, listed or not
   std::optional<std::uint64_t> idle_broken_;  // the route
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -9,6 +9,8 @@
 #include <tuple>
 #include <vector>
 
+#include "decision/invariants.h"
+
 namespace rockcrank {
 
 using Millis = double;
@@ -173,6 +175,21 @@
   Millis limit_age = 0;
 };
 
+// What the module has done since its start, for the log and the metrics.
+struct Counters {
+  std::uint64_t attempts = 0;             // calls, not the messages that join one
+  std::uint64_t retried_messages = 0;     // messages sent again
+  std::uint64_t slow_start_attempts = 0;  // calls to destinations in slow start, or that may be out
+  std::uint64_t trials = 0;               // calls of a breaker's trial
+  std::uint64_t not_begun = 0;            // calls given up once their connection was up
+  std::uint64_t rejected = 0;
+  std::uint64_t abandoned = 0;
+  std::uint64_t called_off = 0;
+  std::uint64_t breakers_opened = 0;
+  std::uint64_t cold_returns = 0;
+  Invariants invariants;
+};
+
 class Decision {
  public:
   static std::unique_ptr<Decision> make(const Settings& settings, std::uint64_t seed);
@@ -207,6 +224,7 @@
   // call may begin; asked again in each turn where later.
   virtual void connecting(DocId doc, int transmission) = 0;
   virtual MayBegin may_begin(DocId doc, int transmission) = 0;
+  virtual const Counters& counters() const = 0;
   virtual Millis pause_after(int failures) = 0;  // before what the host itself tries again
 
   // Between relays, and over a restart. knowledge: of the routes of which something has changed since it was
--- /dev/null
+++ b/src/decision/invariants.cpp
@@ -0,0 +1,36 @@
+// The counts of the run-time check; invariants.h says what it is for.
+#include "decision/invariants.h"
+
+#include <numeric>
+
+namespace rockcrank {
+
+const char* name_of(Invariant invariant) {
+  switch (invariant) {
+    case Invariant::slow_start: return "slow_start";
+    case Invariant::told_wait: return "told_wait";
+    case Invariant::closed_endpoint: return "closed_endpoint";
+    case Invariant::message_order: return "message_order";
+    case Invariant::single_attempt: return "single_attempt";
+    case Invariant::deadline: return "deadline";
+    case Invariant::safe_rejection: return "safe_rejection";
+  }
+  return "unknown";
+}
+
+bool Invariants::violated(Invariant invariant, bool holds) {
+  ++checks_;
+  if (holds) return false;
+  ++violations_[static_cast<std::size_t>(invariant)];
+  return true;
+}
+
+std::uint64_t Invariants::violations(Invariant invariant) const {
+  return violations_[static_cast<std::size_t>(invariant)];
+}
+
+std::uint64_t Invariants::violations() const {
+  return std::accumulate(violations_.begin(), violations_.end(), std::uint64_t{0});
+}
+
+}  // namespace rockcrank
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdint>
 #include <cstdio>
+#include <initializer_list>
 #include <set>
 #include <string>
 #include <tuple>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "decision/decision.h"
+#include "decision/slow_start.h"
 
 namespace rockcrank::state {
 
@@ -68,8 +70,9 @@
   Millis failed_at = -never;                         // the newest failure seen here
   Millis hastened_at = -never;                       // its trial was drawn sooner, by what another relay told
   Millis learnt_at = -never, learnt_until = -never;  // from another relay: anything; a told wait
-  bool news = false;                                 // for other relays
-  bool keep = false;                                 // for this relay's next process
+  SlowStartMonitor slow_start_monitor;
+  bool news = false;  // for other relays
+  bool keep = false;  // for this relay's next process
   auto fields() {
     return std::tie(name, bundle_max, limit, left_share, hinted_at, told_until, mode, endpoints,
                     failures_in_row, refused_in_row, follow_left, calls_out, opened_at, trial_at,
@@ -78,10 +81,21 @@
                     keep);
   }
 
-  std::string line(const char* what, double a, double b) const {  // of the log
-    char text[110];
-    std::snprintf(text, sizeof text, "%s to %llx: %.3g, %.3g", what, 0ULL + name, a, b);
-    return text;
+  const char* mode_name() const {
+    static const char* const names[] = {"closed", "open", "trial", "following"};
+    return names[static_cast<int>(mode)];
+  }
+  // A line of the log: an event, and what goes with it, by name.
+  using Field = std::pair<const char*, double>;
+  std::string line(const char* event, std::initializer_list<Field> fields) const {
+    char text[120];
+    std::snprintf(text, sizeof text, "event=%s route=%llx breaker=%s", event, 0ULL + name, mode_name());
+    std::string told = text;
+    for (const auto& [field, value] : fields) {
+      std::snprintf(text, sizeof text, " %s=%.4g", field, value);
+      told += text;
+    }
+    return told;
   }
 
   Millis binds_until(Millis warm, Millis memory) const {
--- a/src/relay/admin.cpp
+++ b/src/relay/admin.cpp
@@ -86,7 +86,9 @@
     if (auto word = cut(rest, ' '); !word.empty()) words.emplace_back(word);
   if (words.empty()) return "error the line is empty";
   if (!std::all_of(words.begin(), words.end(), printable)) return "error the line cannot be read";
-  bool out = words[0] == "OFFLINE", health = words[0] == "HEALTH";
+  bool out = words[0] == "OFFLINE", health = words[0] == "HEALTH", metrics = words[0] == "METRICS";
+  if (metrics && words.size() > 1) return "error METRICS takes no argument";
+  if (metrics) return on_metrics ? "done " + on_metrics() : "error this process does not take clients yet";
   if (!health && !out && words[0] != "ONLINE") return "error unknown command " + quoted(words[0]);
   if (health && words.size() > 1) return "error HEALTH takes no argument";
   if (!health && words.size() != 2) return "error " + words[0] + " takes one endpoint's id";
--- a/src/relay/admin.h
+++ b/src/relay/admin.h
@@ -22,6 +22,7 @@
 
   // Each answers with a reason why not; empty: done. Not set: this process does not serve yet.
   std::function<std::string()> on_health;
+  std::function<std::string()> on_metrics;  // answers with the metrics themselves
   std::function<std::string(const std::string& endpoint, bool out)> on_out;
 
  private:
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -90,9 +90,13 @@
 
 Loop::Loop() { refresh(); }
 
+// Set once for each process, from the clock that nobody sets: a wall clock that is stepped while the process
+// runs moves no deadline, window or wait, which are spans of real time.
 Millis Loop::wall() {
-  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
+  static const Millis ahead =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count() -
+      monotonic();
+  return monotonic() + ahead;
 }
 
 Millis Loop::monotonic() {
@@ -190,9 +194,12 @@
   int on = 1;
   setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   auto at = to_sockaddr(to);
-  if (connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 && errno != EINPROGRESS) {
-    lacks_descriptor_ =
-        errno == EADDRNOTAVAIL || errno == EAGAIN;  // no port free: not the other side's doing
+  // A connect that is interrupted goes on by itself, as one that is in progress.
+  bool goes_on = connect(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 || errno == EINPROGRESS ||
+                 errno == EINTR;
+  if (!goes_on) {
+    // No port or no memory is free here: not the other side's doing.
+    lacks_descriptor_ = errno == EADDRNOTAVAIL || errno == EAGAIN || errno == ENOBUFS || errno == ENOMEM;
     ::close(std::exchange(fd_, -1));
     state_ = State::ended;
     return;
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -27,7 +27,7 @@
  public:
   Loop();
   Millis now() const { return now_; }  // monotonic, as of this round
-  static Millis wall();                // Unix time
+  static Millis wall();                // Unix time, as it was set when the process began
   static Millis monotonic();           // at this moment
   void run();
   void stop() { running_ = false; }
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -19,25 +19,29 @@
 namespace {
 
 constexpr const char* usage =
-    "usage: rockcrank serve | check | health | offline ID | online ID | version\n"
+    "usage: rockcrank serve | check | health | metrics | offline ID | online ID | version\n"
     "  serve    run one relay, as $BALANCER_CONFIG tells; --notes: with short notes to other relays, where "
     "its\n"
     "           settings allow them\n"
     "  check    read the configuration that serve would use, and say what is wrong with it\n"
     "  health   ask the relay at the second address whether it takes clients\n"
+    "  metrics  ask it for its counts, those of broken rules among them\n"
     "  offline  have it take the endpoint ID out; online: put it back\n"
     "           (exit code 0: done, 1: it said error, 3: nobody answers)\n"
     "  version  print the version\n";
 
 // What a call at the second address answers, as a line and an exit code.
 int call(const std::string& command, const std::string& operand) {
-  bool named = command != "health";
+  bool named = command != "health" && command != "metrics";
   if (named == operand.empty()) {
     std::fprintf(stderr, "rockcrank: %s takes %s\n%s", command.c_str(),
                  named ? "an endpoint's id" : "nothing", usage);
     return 2;
   }
-  std::string line = command == "health" ? "HEALTH" : command == "offline" ? "OFFLINE " : "ONLINE ";
+  std::string line = command == "health"    ? "HEALTH"
+                     : command == "metrics" ? "METRICS"
+                     : command == "offline" ? "OFFLINE "
+                                            : "ONLINE ";
   try {
     auto answer = rockcrank::ask_admin(rockcrank::admin_address(), line + operand);
     std::printf("%s\n", answer.c_str());
@@ -100,7 +104,8 @@
     return 2;
   }
   if (command == "version") return std::printf("rockcrank %s\n", ROCKCRANK_VERSION), 0;
-  if (command == "health" || command == "offline" || command == "online") return call(command, operand);
+  if (command == "health" || command == "metrics" || command == "offline" || command == "online")
+    return call(command, operand);
   if (command != "serve" && command != "check") {
     std::fprintf(stderr, "rockcrank: no such command: '%s'\n%s", command.c_str(), usage);
     return 2;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -23,6 +23,7 @@
 // The last of that time: answers given now still get through, and what clients send meanwhile is read and
 // dropped.
 constexpr Millis last_answers = 300;
+constexpr Millis metrics_every = 10000;
 constexpr Millis look_again = 50;  // for the end of a process that keeps its file
 constexpr int baggage_form = 1;    // changed with every change of what pack() gives
 
@@ -68,7 +69,8 @@
       signals_(
           loop_, [this] { leave(); }, [this] { read_again(); }),
       admin_(admin),
-      adopt_due_(loop_, [this] { adopt(); }) {
+      adopt_due_(loop_, [this] { adopt(); }),
+      metrics_due_(loop_, [this] { log_metrics(); }) {
   clients_.on_document = [this](const Handed& handed, AnswerTo to) { hand_in(handed, to); };
   endpoints_.on_outcome = [this](const Outcome& outcome) { ended(outcome); };
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
@@ -111,7 +113,8 @@
   notices_.pause_after = [this](int failures) { return decision_->pause_after(failures); };
   if (baggage) take_over(state, *baggage);
   if (fleet_config_) start_fleet();
-  else if (notes && config_.notes_allowed && !baggage)
+  else route_memory_.emplace(store_, *decision_);
+  if (!fleet_config_ && notes && config_.notes_allowed && !baggage)
     whisper_ = std::make_unique<peer::Whisper>(loop_, *decision_, config_, [this] { begin(); });
 }
 
@@ -132,11 +135,12 @@
 }
 
 Relay::~Relay() {
-  if (admin_) admin_->on_health = nullptr, admin_->on_out = nullptr;
+  if (admin_) admin_->on_health = nullptr, admin_->on_metrics = nullptr, admin_->on_out = nullptr;
 }
 
 void Relay::run() {
   if (admin_) {
+    admin_->on_metrics = [this] { return metrics(); };
     admin_->on_health = [this] { return std::string(leaving_ ? "it ends" : ""); };
     admin_->on_out = [this](const std::string& endpoint, bool out) { return take_out(endpoint, out); };
   }
@@ -147,6 +151,7 @@
   for (const auto& endpoint : store_.outs()) decision_->set_out(EndpointId(hash_of(endpoint)), true);
   if (!taken_over_) take_list(config_.known);
   if (fleet_) fleet_->start();
+  if (route_memory_ && !taken_over_) route_memory_->restore();
   std::vector<DocId> all;
   for (const auto& [doc, held] : store_.held())
     if (!taken_over_ || held.ended) all.push_back(doc);
@@ -167,7 +172,9 @@
            taken_over_      ? ", taken over whole"
            : store_.alone() ? ""
                             : ", and sends when the process before it has ended");
+  metrics_due_.set(loop_.now() + metrics_every);
   loop_.run();
+  log_metrics();
   // Guards against the platform's signal to end, which follows a hand-over, while this process is ending
   // already.
   if (handed_over_) {
@@ -435,6 +442,7 @@
     // It is counted here, but can only run once it is written: note_risk(). The fleet asks its copies before.
     if (!fleet_) store_.never_ran(sent.doc, transmission);
   }
+  if (route_memory_) route_memory_->keep();
   bool kept = store_.flush();
   if (!kept) hold_back(decided.transmitted);
   answer_arrived(kept);
@@ -605,6 +613,42 @@
   return {};
 }
 
+// Counts since the start of the process, by name. A violation is a rule that the module's own run-time check
+// found broken.
+std::string Relay::metrics() {
+  const Counters& counters = decision_->counters();
+  std::string text;
+  auto add = [&](const char* name, std::uint64_t value) {
+    if (!text.empty()) text += ' ';
+    text += std::string(name) + "=" + std::to_string(value);
+  };
+  add("held", store_.held().size());
+  add("attempts", counters.attempts);
+  add("retried_messages", counters.retried_messages);
+  add("slow_start_attempts", counters.slow_start_attempts);
+  add("trials", counters.trials);
+  add("not_begun", counters.not_begun);
+  add("rejected", counters.rejected);
+  add("abandoned", counters.abandoned);
+  add("called_off", counters.called_off);
+  add("breakers_opened", counters.breakers_opened);
+  add("cold_returns", counters.cold_returns);
+  add("checks", counters.invariants.checks());
+  for (std::size_t i = 0; i < invariant_count; ++i) {
+    auto invariant = static_cast<Invariant>(i);
+    add((std::string("violations_") + name_of(invariant)).c_str(), counters.invariants.violations(invariant));
+  }
+  return text;
+}
+
+// A killed process says nothing at its end, so the counts are told now and then, where they have changed.
+void Relay::log_metrics() {
+  metrics_due_.set(loop_.now() + metrics_every);
+  std::string now = metrics();
+  if (now != metrics_logged_) log_line("event=metrics %s", now.c_str());
+  metrics_logged_ = now;
+}
+
 // SIGHUP: a new file counts whole or not at all. Documents held keep the type they were taken on with;
 // breakers, waits and cold returns live on. What is numbered in all that is held waits for the next start,
 // and so do addresses but the agent's, and limits of the process.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -21,6 +21,7 @@
 #include "relay/endpoints.h"
 #include "relay/handover.h"
 #include "relay/loop.h"
+#include "relay/route_memory.h"
 #include "relay/store.h"
 
 namespace rockcrank {
@@ -67,6 +68,8 @@
   void let_go(DocId doc);
   void end(DocId doc, bool rejected, Millis wait);
   void send(const std::vector<Transmit>& transmitted);
+  std::string metrics();
+  void log_metrics();
   std::string take_out(const std::string& endpoint, bool out);
   void read_again();
   void leave();
@@ -85,7 +88,8 @@
   Signals signals_;
   Admin* const admin_;
   std::unique_ptr<Successor> successor_;
-  Timer adopt_due_;
+  Timer adopt_due_, metrics_due_;
+  std::string metrics_logged_;
 
   std::optional<peer::Around> around_;
   std::unique_ptr<peer::Fleet> fleet_;
@@ -103,6 +107,7 @@
   };
   std::vector<std::vector<KeptTransmit>> held_calls_;
 
+  std::optional<RouteMemory> route_memory_;  // where no fleet file is named: its shared state is kept else
   std::map<EndpointId, EndpointEntry> known_;
   std::vector<Arrived> arrived_;
   std::vector<Outcome> not_sent_;  // told to the module in the next turn
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -130,8 +130,7 @@
   return rest;
 }
 
-// Told apart from every other start of this machine; 0 where the system does not say.
-std::uint64_t machine_start() {
+std::uint64_t read_machine_start() {
   std::ifstream file("/proc/sys/kernel/random/boot_id");
   std::string id;
   return std::getline(file, id) ? hash_of(id) : 0;
@@ -210,6 +209,11 @@
 
 }  // namespace
 
+std::uint64_t Store::machine_start() {
+  static const std::uint64_t start = read_machine_start();
+  return start;
+}
+
 Store::Store(std::string folder, std::size_t bytes_most)
     : folder_(std::move(folder)), bytes_most_(bytes_most) {
   std::filesystem::create_directories(folder_);
@@ -329,6 +333,7 @@
 }
 
 void Store::taken(DocId doc) {
+  keep_time();
   Held& document = held_.at(doc);
   document.noted = true;
   pending_ += record_of('D', doc, whole(document));
@@ -340,7 +345,7 @@
 // its mark still known at the destination.
 void Store::keep_time() {
   constexpr Millis apart_most = 10;
-  static const auto start = machine_start();
+  const auto start = machine_start();
   auto ahead = Loop::wall() - Loop::monotonic();
   if (clock_noted_ && start == machine_start_ && std::abs(ahead - wall_ahead_) < apart_most) return;
   clock_noted_ = true;
@@ -501,10 +506,13 @@
   if (kind == 'K') {
     auto ahead = reader.number<double>();
     auto start = reader.number<std::uint64_t>();
-    // Only ever made older: where the clocks do not go together, what they say is no reason to try again.
-    auto set_back = start == machine_start_ && start != 0 ? std::max(0.0, wall_ahead_ - ahead) : 0.0;
-    for (auto& [other, document] : held_)
-      for (auto& sent : document.unproven) sent.at -= set_back;
+    // Since the same start of the machine the clock that nobody sets tells exactly by how much the wall clock
+    // was stepped: deadlines and attempts move with it, so that the time left and their ages stay true.
+    auto stepped = start == machine_start_ && start != 0 ? ahead - wall_ahead_ : 0.0;
+    for (auto& [other, document] : held_) {
+      document.expiry += stepped;
+      for (auto& sent : document.unproven) sent.at += stepped;
+    }
     wall_ahead_ = ahead, machine_start_ = start;
     return;
   }
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -80,6 +80,9 @@
   void set_note(const std::string& name, const std::string& text);
   const std::map<std::string, std::string>& notes() const { return notes_; }
   void set_deed(DocId doc, const std::string& deed);
+  // Tells this start of the machine from every other: since the same one, monotonic clocks of different
+  // processes go together. 0 where the system does not say.
+  static std::uint64_t machine_start();
   std::uint64_t last() const { return last_; }  // number given to a document, over all restarts
   // A document as its record has it, for a relay that holds a copy; read throws where it is none.
   static std::string whole(const Held& document);
--- a/src/trial/auditor.cpp
+++ b/src/trial/auditor.cpp
@@ -23,6 +23,7 @@
 constexpr Time on_its_way = 150;     // a call or an answer that was written may be read so much later
 constexpr Time told_slack = 60;      // a wait counts from the reading of its answer
 constexpr Time surely_read = 250;    // an answer to a process that runs
+constexpr Time surely_tried = 500;   // a message that was taken on, where nothing else is wrong
 constexpr Time surely_known = 1000;  // by a relay that is linked to one that knows
 constexpr Time link_again = 2500;    // a link that was cut, or whose member was not there, is dialled anew
 constexpr Time client_patience = 3000;
@@ -571,8 +572,14 @@
                                                                         : never;
             if (failed < back && !knew.count(call->relay)) knew[call->relay] = failed;
           }
-        // A refused connection leaves no line of its own: only relays with calls there in the outage count
-        // then.
+        // A refused connection leaves no line of its own: a relay that was handed a message for it early
+        // enough in the outage, and ran on, has tried.
+        for (const auto& [id, doc] : docs_) {
+          bool tried = doc.dest == dest && doc.handed >= down && doc.handed < back - surely_tried;
+          if (tried && doc.what == "OK" && !knew.count(doc.relay) &&
+              relays_[doc.relay].runs_throughout(doc.handed, doc.handed + surely_tried))
+            knew[doc.relay] = doc.handed + surely_tried;
+        }
         auto direct = knew;
         for (const auto& [relay, since] : direct)
           for (const auto& [other, state] : relays_)
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include "trial/auditor.h"
+#include "trial/cold.h"
 #include "trial/draw.h"
 #include "trial/plants.h"
 #include "trial/rig.h"
@@ -33,8 +34,9 @@
   cxxopts::Options options("rockcrank_trial", "real processes under faults, and an auditor");
   auto add = options.add_options();
   add("seed", "all faults and the load are drawn from it", cxxopts::value<unsigned long>());
-  add("relays", "processes, 1 to 16", cxxopts::value<int>());
-  add("part", "fleet, documents, warm or latest; all if left out", cxxopts::value<std::string>());
+  add("relays", "processes, 1 to 64", cxxopts::value<int>());
+  add("part", "fleet, documents, warm, latest or cold; all but cold if left out",
+      cxxopts::value<std::string>());
   add("seconds", "length of the load, 2 to 600", cxxopts::value<double>());
   add("scene", "a file with a fixed case, instead of a seed", cxxopts::value<std::string>());
   add("plant", "a break put into the log, to prove the auditor", cxxopts::value<std::string>());
@@ -62,11 +64,11 @@
   auto wrong = [](const std::string& what) { throw std::runtime_error(what); };
   if (!given.count("seed") && all.scene.empty() && all.audited.empty())
     wrong("--seed N, --scene FILE or --audit FILE is needed");
-  if (all.relays < 1 || all.relays > 16) wrong("--relays is from 1 to 16");
+  if (all.relays < 1 || all.relays > 64) wrong("--relays is from 1 to 64");
   if (!(all.seconds >= 2 && all.seconds <= 600)) wrong("--seconds is from 2 to 600");
   if (!all.part.empty() && all.part != "fleet" && all.part != "documents" && all.part != "warm" &&
-      all.part != "latest")
-    wrong("--part is fleet, documents, warm or latest, not '" + all.part + "'");
+      all.part != "latest" && all.part != "cold")
+    wrong("--part is fleet, documents, warm, latest or cold, not '" + all.part + "'");
   if (!all.plant.empty()) {
     auto names = plant_names();
     if (std::find(names.begin(), names.end(), all.plant) == names.end()) {
@@ -115,10 +117,14 @@
   setup.program = all.program, setup.relays = all.relays, setup.seed = all.seed, setup.verbose = all.verbose;
   setup.settings = plain_settings();
   std::optional<Scene> scene;
-  if (all.scene.empty()) draw_world(setup, all.part);
+  const bool cold = all.scene.empty() && all.part == "cold";
+  if (cold) draw_cold_world(setup);
+  else if (all.scene.empty()) draw_world(setup, all.part);
   else scene.emplace(all.scene), scene->set_up(setup);
   Rig rig(setup);
-  auto failed = scene ? scene->play(rig) : play_drawn(rig, all.part, all.seconds);
+  auto failed = scene  ? scene->play(rig)
+                : cold ? play_cold_returns(rig)
+                       : play_drawn(rig, all.part, all.seconds);
   if (!all.plant.empty() && failed.empty()) falsify(all.plant, rig.log());
   if (!all.log.empty()) std::ofstream(all.log) << text_of(rig.log());
   auto how = scene ? "scene " + all.scene
--- a/src/trial/rig.cpp
+++ b/src/trial/rig.cpp
@@ -148,7 +148,7 @@
   }
   for (const auto& from : names())
     for (const auto& to : names())
-      if (from != to) proxy(from, to);
+      if (setup_.fleet && from != to) proxy(from, to);
 }
 
 Rig::~Rig() {
@@ -531,7 +531,8 @@
   endpoint.how = how;
   auto manner = endpoint.how["manner"] = word(how, "manner", "200");
   endpoint.times = static_cast<int>(number(how, "times", -1));
-  bool failing = manner == "down" || manner == "silent" || manner == "reset" || manner == "500";
+  bool failing =
+      manner == "down" || manner == "silent" || manner == "reset" || manner == "500" || manner == "shut";
   if (manner == "down") {
     shut_endpoint(endpoint);
     if (fresh) open_endpoint(endpoint), shut_endpoint(endpoint);  // it has ports all the same
@@ -607,7 +608,8 @@
     said = states.dump();
   }
   if (how.count("wait")) headers = "Retry-After: " + how["wait"] + "\r\n";
-  auto answer = http(manner + " Said", headers, said);
+  const auto status = manner == "shut" ? std::string("503") : manner;
+  auto answer = http(status + " Said", headers, said);
   auto name = endpoint.name;
   auto wait = how.count("wait") ? std::stod(how["wait"]) * 1000 : 0;
   ring_.at(now() + number(how, "after", 0), [=, this] {
@@ -620,7 +622,7 @@
       std::vector<std::pair<std::string, std::string>> fields{
           {"e", name},     {"dest", std::to_string(endpoints_.at(name).dest)},
           {"r", relay},    {"conn", std::to_string(number_of)},
-          {"id", item.id}, {"status", manner}};
+          {"id", item.id}, {"status", status}};
       if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
       note("answer", std::move(fields));
       if (auto found = docs_.find(item.id); found != docs_.end() && (manner == "200" || manner == "410"))
--- a/src/trial/rig.h
+++ b/src/trial/rig.h
@@ -50,7 +50,7 @@
   bool is_relay(const std::string& name) const { return relays_.count(name) > 0; }
   Millis now() const { return ring_.now(); }
 
-  // how: for= hall= rate= kind= of a new one; manner= status, silent, reset, down; after= ms, wait= s, times=
+  // how: for= hall= rate= kind= of a new one; manner= status, silent, reset, down, shut (503 as an outage); after= ms, wait= s, times=
   // N calls so, then 200 again.
   void endpoint(const std::string& name, const Words& how);
   void list(const std::string& endpoint, const std::string& state);
--- a/tests/crossings/halt.cpp
+++ b/tests/crossings/halt.cpp
@@ -2,14 +2,19 @@
 // ROCKCRANK_HALT holds one point a line, as FUNCTION:WHEN:TEXT. At the first call of FUNCTION (send, write,
 // shutdown, signal) whose bytes, or signal's number, hold TEXT, the process stops itself (SIGSTOP) before or
 // after the call; the test sees that, acts, and lets it go on or kills it. ROCKCRANK_WALL_AHEAD_MS moves the
-// wall clock, and no other.
+// wall clock, and no other. ROCKCRANK_FAIL makes calls fail for a moment, one rule a line as
+// FUNCTION:ERROR:N: each Nth call of FUNCTION ends with that error (SHORT: half of the bytes go), as Linux
+// documents it: a connect that is interrupted goes on.
 #include <dlfcn.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +52,51 @@
   }
 }
 
+struct Failing {
+  std::string function, error;
+  long every = 0, calls = 0;
+};
+
+std::vector<Failing> failures_told() {
+  std::vector<Failing> failures;
+  const char* told = std::getenv("ROCKCRANK_FAIL");
+  std::string rest = told ? told : "";
+  while (!rest.empty()) {
+    auto line = rest.substr(0, rest.find('\n'));
+    rest.erase(0, line.size() + 1);
+    auto first = line.find(':');
+    auto second = line.find(':', first + 1);
+    if (second == std::string::npos) continue;
+    failures.push_back({line.substr(0, first), line.substr(first + 1, second - first - 1),
+                        std::atol(line.c_str() + second + 1)});
+  }
+  return failures;
+}
+
+// How this call of the function ends: an error's name, or empty where it goes through.
+std::string failure_of(std::string_view function) {
+  static std::vector<Failing> failures = failures_told();
+  std::string error;
+  for (auto& failing : failures)
+    if (failing.function == function && ++failing.calls % failing.every == 0) error = failing.error;
+  return error;
+}
+
+int fail_with(const std::string& error) {
+  static const std::map<std::string, int> numbers = {{"EINTR", EINTR},
+                                                     {"ECONNABORTED", ECONNABORTED},
+                                                     {"ENFILE", ENFILE},
+                                                     {"ENOBUFS", ENOBUFS},
+                                                     {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+                                                     {"ENETUNREACH", ENETUNREACH},
+                                                     {"ETIMEDOUT", ETIMEDOUT},
+                                                     {"EHOSTUNREACH", EHOSTUNREACH},
+                                                     {"ENOSPC", ENOSPC},
+                                                     {"EIO", EIO}};
+  errno = numbers.at(error);
+  return -1;
+}
+
 template <typename Function>
 Function* next(const char* name) {
   return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, name));
@@ -60,6 +110,9 @@
   static auto* real = next<ssize_t(int, const void*, size_t, int)>("send");
   std::string_view text(static_cast<const char*>(bytes), size);
   halt_at("send", "before", text);
+  auto failure = failure_of("send");
+  if (failure == "SHORT") size = (size + 1) / 2;
+  else if (!failure.empty()) return fail_with(failure);
   auto sent = real(fd, bytes, size, flags);
   halt_at("send", "after", text);
   return sent;
@@ -74,6 +127,40 @@
   return written;
 }
 
+ssize_t recv(int fd, void* bytes, size_t size, int flags) {
+  static auto* real = next<ssize_t(int, void*, size_t, int)>("recv");
+  auto failure = failure_of("recv");
+  if (failure == "SHORT") size = (size + 1) / 2;
+  else if (!failure.empty()) return fail_with(failure);
+  return real(fd, bytes, size, flags);
+}
+
+int poll(pollfd* descriptors, nfds_t count, int timeout) {
+  static auto* real = next<int(pollfd*, nfds_t, int)>("poll");
+  auto failure = failure_of("poll");
+  return failure.empty() ? real(descriptors, count, timeout) : fail_with(failure);
+}
+
+int socket(int domain, int type, int protocol) noexcept {
+  static auto* real = next<int(int, int, int)>("socket");
+  auto failure = failure_of("socket");
+  return failure.empty() ? real(domain, type, protocol) : fail_with(failure);
+}
+
+int connect(int fd, const sockaddr* to, socklen_t size) {
+  static auto* real = next<int(int, const sockaddr*, socklen_t)>("connect");
+  auto failure = failure_of("connect");
+  if (failure.empty()) return real(fd, to, size);
+  if (failure == "EINTR" && (real(fd, to, size) == 0 || errno != EINPROGRESS)) return -1;
+  return fail_with(failure);
+}
+
+int accept4(int fd, sockaddr* from, socklen_t* size, int flags) {
+  static auto* real = next<int(int, sockaddr*, socklen_t*, int)>("accept4");
+  auto failure = failure_of("accept4");
+  return failure.empty() ? real(fd, from, size, flags) : fail_with(failure);
+}
+
 int shutdown(int fd, int how) noexcept {
   static auto* real = next<int(int, int)>("shutdown");
   halt_at("shutdown", "before", {});
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -782,6 +782,8 @@
   Millis pause_after(int) override { return 1; }
   std::vector<Knowledge> knowledge(bool) override { return {}; }
   std::vector<Knowledge> to_keep() override { return {}; }
+  const Counters& counters() const override { return counters_; }
+  Counters counters_;
   void learn(const Knowledge&) override {}
 };
 
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -572,10 +572,13 @@
   }
   // Called in the relay's process before it runs: crossings/halt.cpp says what this does there.
   static void load_halt(const Words& words) {
-    if (!words.count("halt") && !words.count("wall_ahead")) return;
+    if (!words.count("halt") && !words.count("wall_ahead") && !words.count("fail")) return;
     auto points = unescaped(text_or(words, "halt", ""));
     std::replace(points.begin(), points.end(), ';', '\n');
+    auto failures = text_or(words, "fail", "");
+    std::replace(failures.begin(), failures.end(), ';', '\n');
     setenv("LD_PRELOAD", HALT_LIBRARY, 1);
+    setenv("ROCKCRANK_FAIL", failures.c_str(), 1);
     setenv("ROCKCRANK_HALT", points.c_str(), 1);
     setenv("ROCKCRANK_WALL_AHEAD_MS", text_or(words, "wall_ahead", "0").c_str(), 1);
   }
