--- a/tests/crossings/halt.cpp
+++ b/tests/crossings/halt.cpp
@@ -21,14 +21,14 @@
 
 namespace {
 
-struct Point {
-  std::string function, when, text;
-  bool met = false;
+// The rules of a variable: one a line, three parts with a colon between them.
+struct Rule {
+  std::string function, second, third;
 };
 
-std::vector<Point> points_told() {
-  std::vector<Point> points;
-  const char* told = std::getenv("ROCKCRANK_HALT");
+std::vector<Rule> rules_told(const char* variable) {
+  std::vector<Rule> rules;
+  const char* told = std::getenv(variable);
   std::string rest = told ? told : "";
   while (!rest.empty()) {
     auto line = rest.substr(0, rest.find('\n'));
@@ -36,9 +36,21 @@
     auto first = line.find(':');
     auto second = line.find(':', first + 1);
     if (second == std::string::npos) continue;
-    points.push_back(
+    rules.push_back(
         {line.substr(0, first), line.substr(first + 1, second - first - 1), line.substr(second + 1)});
   }
+  return rules;
+}
+
+struct Point {
+  std::string function, when, text;
+  bool met = false;
+};
+
+std::vector<Point> points_told() {
+  std::vector<Point> points;
+  for (const auto& rule : rules_told("ROCKCRANK_HALT"))
+    points.push_back({rule.function, rule.second, rule.third});
   return points;
 }
 
@@ -59,17 +71,8 @@
 
 std::vector<Failing> failures_told() {
   std::vector<Failing> failures;
-  const char* told = std::getenv("ROCKCRANK_FAIL");
-  std::string rest = told ? told : "";
-  while (!rest.empty()) {
-    auto line = rest.substr(0, rest.find('\n'));
-    rest.erase(0, line.size() + 1);
-    auto first = line.find(':');
-    auto second = line.find(':', first + 1);
-    if (second == std::string::npos) continue;
-    failures.push_back({line.substr(0, first), line.substr(first + 1, second - first - 1),
-                        std::atol(line.c_str() + second + 1)});
-  }
+  for (const auto& rule : rules_told("ROCKCRANK_FAIL"))
+    failures.push_back({rule.function, rule.second, std::atol(rule.third.c_str())});
   return failures;
 }
 
