--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -314,6 +314,9 @@
     Millis seen = now_ - k.state_age, met = now_ - k.limit_age, until = now_ + k.told_left;
     Millis back = route.cold_since > now_ ? -never : route.cold_since, oldest = now_ - longest_life_;
     route.name = k.route, route.learnt_at = now_;
+    // Another relay's refusal is one more, in a row with this relay's own.
+    if (k.limit > 0 && k.left_share < 0.1 && met > route.answered_at && route.refused_in_row > 0)
+      ++route.refused_in_row;
     if (k.limit > 0 && met > std::max({route.hinted_at, route.paced_at, oldest}))
       route.limit = k.limit, route.left_share = k.left_share, route.hinted_at = met;
     if (k.told_left > 0 && until > route.told_until)
@@ -406,6 +409,7 @@
 
  private:
   static constexpr Millis stall = 1000, longest_span = 2500, room_hold = 5000, cap_counts = 30000;
+  static constexpr double hardly_any = 0.1;                    // calls in a limit's span
   static constexpr int handful = 5, learnt_most = 1000;        // connections, that any endpoint takes; routes
   static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
 
@@ -487,7 +491,7 @@
       if (now_ > route.paced_at + 300) {
         // A floor for each relay alone would sum to more than a small destination takes from a fleet.
         double part = std::max(route.limit, 1.0) / set_.relays;
-        double least = 0.3 * std::max(part, route.calls.per_second(now_));
+        double least = std::max(0.3, 0.3 * part);
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_, route.news |= route.limit > 0;
       }
@@ -725,8 +729,9 @@
   // Refusals without a reason: a met limit, or a shut destination. A limit's span tells them apart, but only
   // for a relay that calls several times within it.
   bool is_refusing(const Route& route) const {
-    bool calls_seldom = route.rate_before * longest_span < 1000;
-    if (calls_seldom) return route.refused_in_row > 0;
+    double calls_in_span = route.rate_before * longest_span / 1000;
+    if (calls_in_span < hardly_any) return route.refused_in_row > 0;
+    if (calls_in_span < 1) return route.refused_in_row > 1;
     return route.refused_in_row > 1 && route.paced_at - route.failing_since > longest_span;
   }
   // Calls that the pace allows now; a call takes one.
--- a/src/decision/slow_start.cpp
+++ b/src/decision/slow_start.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 // Of the allowed multiple. With the sums of full_rate() and a capacity that is a little more than the limit,
-// the calls of all relays come to 0.6 to 0.9 of what is allowed in the mean. The rest, with the slack for
+// the calls of all relays come to 0.7 to 0.8 of what is allowed in the mean. The rest, with the slack for
 // chance that the rule adds, is for spans that hold more: relays that decide alone call at random moments.
-constexpr double used_of_multiple = 0.7;
+constexpr double used_of_multiple = 0.8;
 // All relays together try a destination at least once in this time.
 constexpr double seconds_between_trials = 1;
 // A relay's own part may go beyond its steady rate by the calls of one moment: the credit for one call, a
