Take out a floor written twice, a condition that stood twice and an unused flag

Read once more: the floor of the pace after a refusal had its old value again under a comment that said otherwise; whether a return is known stood in learn() and succeeded(); Play::done was never read.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -324,8 +324,8 @@
     // Another relay's rate says nothing of this one's part.
     double own_rate = k.own ? k.rate_before : 0;
     // Of relays that return one after another each tells of its own trial: the first word of a return counts.
-    bool known = is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
-    if (k.state == RouteState::returning && !known && seen > std::max(back, now_ - set_.warm_within))
+    if (k.state == RouteState::returning && !return_is_known(route) &&
+        seen > std::max(back, now_ - set_.warm_within))
       note_rate(route, own_rate), cold_from(route, seen);
     if (k.state == RouteState::down && !shut && seen >= std::max({route.answered_at, back, oldest})) {
       note_rate(route, own_rate), route.failing_since = std::min(route.failing_since, now_);
@@ -427,6 +427,11 @@
   bool is_slow(Route& route) { return is_cold(route) || is_suspected(route); }
   bool is_cold(const Route& route) const { return now_ < route.cold_since + set_.warm_within; }
 
+  // A return that began after the last failure known of, here or elsewhere.
+  bool return_is_known(const Route& route) const {
+    return is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
+  }
+
   void pass(Call& call, Stage to) {
     begun_ += (to == Stage::begun) - (call.stage == Stage::begun);
     connecting_ += (to == Stage::connecting) - (call.stage == Stage::connecting);
@@ -489,9 +494,7 @@
     if (got.ending == Ending::refused) {
       route.refused_in_row += !spent(got.hints) && got.wait <= 0;
       if (now_ > route.paced_at + 300) {
-        // A floor for each relay alone would sum to more than a small destination takes from a fleet.
-        double part = std::max(route.limit, 1.0) / set_.relays;
-        double least = std::max(0.3, 0.3 * part);
+        double least = std::max(0.3, 0.3 * route.limit / set_.relays);
         route.own_pace = std::max(least, 0.7 * std::min(pace(route), route.recent.per_second(now_)));
         route.paced_at = now_, route.news |= route.limit > 0;
       }
@@ -584,8 +587,7 @@
     route.refused_in_row = route.failures_in_row = 0;
     // The trial that was answered found it back; the calls that follow must not start its return anew.
     // Nor does a return known since the last failure, as from another relay.
-    bool known = is_cold(route) && route.cold_since > std::max(route.down_at, route.failed_at);
-    if (route.failing_since < never && outage && route.mode != Mode::following && !known) {
+    if (route.failing_since < never && outage && route.mode != Mode::following && !return_is_known(route)) {
       if (!is_cold(route))
         log(route, "cold_return", {{"rate_before", route.rate_before}, {"failing", failing}}),
             ++counters_.cold_returns;
--- a/src/model/cold_run.cpp
+++ b/src/model/cold_run.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 struct Play {
-  bool done = false;
   ColdScenario scenario;
   ColdReport report;
 };
@@ -54,7 +53,6 @@
       Play& play = plays[seed - first];
       play.scenario = draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed));
       play.report = play_cold(play.scenario, seed);
-      play.done = true;
     }
   };
   std::vector<std::thread> workers;
--- a/src/model/main.cpp
+++ b/src/model/main.cpp
@@ -99,7 +99,8 @@
     go_on = given.count("on") > 0;
     if (given.count("trace")) {
       trace_file = given["trace"].as<std::string>();
-      if (first != last || chosen.size() + cold_returns != 1) throw BadArguments("--trace: one seed and one part");
+      if (first != last || chosen.size() + cold_returns != 1)
+        throw BadArguments("--trace: one seed and one part");
     }
   } catch (const std::exception& error) {
     std::fprintf(stderr, "rockcrank_model: %s\n%s", error.what(), options.help().c_str());
--- a/src/trial/rig.h
+++ b/src/trial/rig.h
@@ -50,8 +50,8 @@
   bool is_relay(const std::string& name) const { return relays_.count(name) > 0; }
   Millis now() const { return ring_.now(); }
 
-  // how: for= hall= rate= kind= of a new one; manner= status, silent, reset, down, shut (503 as an outage); after= ms, wait= s, times=
-  // N calls so, then 200 again.
+  // how: for= hall= rate= kind= of a new one; manner= status, silent, reset, down, shut (503 as an outage);
+  // after= ms, wait= s, times= N calls so, then 200 again.
   void endpoint(const std::string& name, const Words& how);
   void list(const std::string& endpoint, const std::string& state);
   bool has_endpoint(const std::string& name) const { return endpoints_.count(name) > 0; }
