Reserve the tests' ports for as long as a test runs

The stand-in found a port free, closed it and gave its number to the relay; the number lies in the range from which the system serves outgoing connections, and six tests run side by side. Excluded: a relay of an earlier start (the test starts one only), the agent's port (held open from the start). links and warm tests found their ports alike.

ReservedPort holds the port by a socket bound with SO_REUSEADDR that does not listen; endpoints that are down did the same by hand and use it now.

--- a/tests/fleet/link_test.cpp
+++ b/tests/fleet/link_test.cpp
@@ -18,6 +18,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "../reserved_port.h"
 #include "peer/codec.h"
 #include "settings/settings.h"
 
@@ -83,14 +84,10 @@
     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
     return ntohs(at.sin_port);
   }
-  int free_port() {
-    int fd = raw(0), port = port_of(fd);
-    opened_.pop_back(), ::close(fd);
-    return port;
-  }
+  int reserve_port() { return reserved_.emplace_back().port(); }
   // Ports of all named, then configurations alike.
   void places(const std::vector<std::string>& names) {
-    for (const auto& name : names) ports_[name] = free_port();
+    for (const auto& name : names) ports_[name] = reserve_port();
   }
   Node& node(const std::string& key, Incarnation life = {5, 5}, bool start = true) {
     auto name = key.substr(0, 1);
@@ -149,6 +146,7 @@
   std::map<std::string, int> ports_;
   std::map<std::string, Node> nodes_;
   std::vector<int> opened_;
+  std::vector<ReservedPort> reserved_;
 };
 
 TEST_F(Links, CarriesMessagesInOrderAndTellsTheCrossing) {
@@ -186,7 +184,7 @@
 TEST_F(Links, ALinkCutOneWayIsCutOneWay) {
   places({"a", "b"});
   auto &a = node("a", {5, 5}, false), &b = node("b");
-  a.config.places[id("b")].port = free_port();  // as by a proxy that is cut
+  a.config.places[id("b")].port = reserve_port();  // as by a proxy that is cut
   begin(a, {5, 5});
   ASSERT_TRUE(until([&] { return b.link->up(id("a")); }));
   ASSERT_TRUE(b.link->send(id("a"), Channel::warm, "one way"));
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -24,6 +24,7 @@
 #include <random>
 #include <set>
 
+#include "../reserved_port.h"
 #include "peer/codec.h"
 #include "peer/fleet.h"
 #include "relay/endpoints.h"
@@ -845,24 +846,14 @@
   }
 };
 
-int free_port() {
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), size), 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-  ::close(fd);
-  return ntohs(at.sin_port);
-}
-
 TEST(WarmHost, BorrowsAsksAndOpensOnlyWhatItsOwnListHas) {
   Lines lines(64);
   peer::FleetConfig config;
   config.fleet = "test", config.queue_bytes = config.frame_bytes = 1 << 20;
+  std::map<std::string, ReservedPort> ports;
   for (const char* name : {"a", "b"}) {
     config.roster.push_back({MemberId(hash_of(name)), name, "h0"});
-    config.places[MemberId(hash_of(name))] = {"127.0.0.1", free_port()};
+    config.places[MemberId(hash_of(name))] = {"127.0.0.1", ports[name].port()};
   }
   std::ranges::sort(config.roster, {}, &fleet::Member::id);
   config.warm = true, config.warm_neighbours = 2, config.warm_connections = 16, config.list_most = 32;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -33,6 +33,7 @@
 
 #include "relay/handover.h"
 #include "relay/store.h"
+#include "reserved_port.h"
 #include "settings/settings.h"
 
 namespace rockcrank {
@@ -75,7 +76,6 @@
     char name[] = "/tmp/rockcrank-test-XXXXXX";
     folder_ = mkdtemp(name);
     agent_ = listen_on(0);
-    relay_port_ = free_port(), admin_port_ = free_port();
     settings_ = Json::parse(R"({"balancers":1,"az":0,"tickUs":5000,"zones":["h0","h1"],"skus":["m0","m1"],
       "specifics":{"slots":8,"bundleMax":[1,5],"routesApart":[false,false],"decay":"halving"},
       "limits":{"maxAttempts":12,"dialTimeoutUs":1500000,"keepaliveUs":10000000,"openCap":200,"cancel":true,
@@ -95,7 +95,6 @@
     for (auto& [fd, peer] : peers_) ::close(fd);
     for (auto& [name, endpoint] : endpoints_) {
       if (endpoint.listener >= 0) ::close(endpoint.listener);
-      if (endpoint.reserved >= 0) ::close(endpoint.reserved);
     }
     ::close(agent_);
     std::filesystem::remove_all(folder_);
@@ -125,7 +124,9 @@
 
  private:
   struct Endpoint {
-    int listener = -1, reserved = -1, port = 0;  // reserved: its port, while it is down
+    int listener = -1;
+    std::shared_ptr<ReservedPort> address;  // one for all stand-ins that share the endpoint
+    int port() const { return address->port(); }
     std::string manner = "200";
     Words how;
     Json entry;
@@ -151,16 +152,12 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
         .count();
   }
-  // Bound and not listening: whoever connects there is refused, and nobody else gets the port.
-  static int reserve(int port) {
+  // Listens at a port that is reserved, or at any.
+  static int listen_on(int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto at = loopback(port);
     EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
-    return fd;
-  }
-  static int listen_on(int port) {
-    int fd = reserve(port);
     EXPECT_EQ(listen(fd, 64), 0);
     return fd;
   }
@@ -176,11 +173,6 @@
     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
     return ntohs(at.sin_port);
   }
-  static int free_port() {
-    int probe = listen_on(0), port = port_of(probe);
-    ::close(probe);
-    return port;
-  }
   static std::string at(int port) { return "127.0.0.1:" + std::to_string(port); }
 
   // Goes on until the condition holds or the time is over; says whether it held.
@@ -425,13 +417,13 @@
     listen(endpoint.listener, 0);
     for (int i = 0; i < 2; ++i) {
       int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      auto to = loopback(endpoint.port);
+      auto to = loopback(endpoint.port());
       connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to);
       peers_[fd].client = true;
     }
   }
 
-  int client(const std::string& name, int window = 0) { return connected(name, relay_port_, window); }
+  int client(const std::string& name, int window = 0) { return connected(name, relay_port_.port(), window); }
   int connected(const std::string& name, int port, int window = 0) {
     if (auto found = clients_.find(name); found != clients_.end()) return found->second;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -464,13 +456,13 @@
       known_ = {{"rev", -1}, {"all", true}, {"targets", Json::array()}};
     Json config{
         {"name", "r1"},
-        {"listen", at(relay_port_)},
+        {"listen", at(relay_port_.port())},
         {"discovery", at(port_of(agent_))},
         {"seed", "7"},
         {"limits", {{"sockets", number(words, "sockets", 200)}, {"disk_mb", number(words, "disk", 1)}}},
         {"known", known_},
         {"settings", settings_}};
-    if (words.count("admin")) config["admin"] = at(admin_port_);
+    if (words.count("admin")) config["admin"] = at(admin_port_.port());
     auto path = folder_ + "/config.json";
     std::ofstream(path) << (words.count("config") ? unescaped(words.at("config")) : config.dump());
     return path;
@@ -479,14 +471,14 @@
   // yes.
   void replace(const Words& words) {
     old_ = std::exchange(pid_, -1);
-    admin_port_ = free_port();
+    admin_port_ = ReservedPort();
     Words again = words;
     again["passed"] = again["admin"] = again["run"] = "serve";
     start(again);
     auto begun = now();
     while (now() < begun + number(words, "within", 6000)) {
       auto name = "health" + std::to_string(healths_++);
-      if (connected(name, admin_port_) >= 0) {
+      if (connected(name, admin_port_.port()) >= 0) {
         if (words.count("begun")) return;  // it has read its configuration and asks the one before
         say(name, "HEALTH\n");
         pump(500, [&] { return peers_[clients_[name]].ended; });
@@ -542,7 +534,7 @@
     auto files = static_cast<rlim_t>(number(words, "files", 0));
     auto largest = static_cast<rlim_t>(number(words, "file_bytes", 0));
     bool passed = words.count("passed") > 0;
-    if (passed && passed_ < 0) passed_ = listen_on(relay_port_);
+    if (passed && passed_ < 0) passed_ = listen_on(relay_port_.port());
     end_process(SIGKILL);
     halts_ = 0;
     pid_ = fork();
@@ -589,7 +581,7 @@
   }
   bool refuses_connections() {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto to = loopback(relay_port_);
+    auto to = loopback(relay_port_.port());
     bool refused = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0;
     ::close(fd);
     return refused;
@@ -642,29 +634,27 @@
     } else if (verb == "endpoint") {
       Endpoint& endpoint = endpoints_[plain.at(1)];
       bool shared = words.count("shared") > 0;  // the other relay's stand-in answers there
-      if (shared) endpoint.port = beside_->endpoints_.at(plain[1]).port;
+      if (shared) endpoint.address = beside_->endpoints_.at(plain[1]).address;
       bool down = plain.size() > 2 && plain[2] == "down";
-      if (endpoint.port == 0) endpoint.port = port_of(endpoint.listener = listen_on(0));
+      if (!endpoint.address) {
+        endpoint.address = std::make_shared<ReservedPort>();
+        endpoint.listener = listen_on(endpoint.port());
+      }
       if (down && endpoint.listener >= 0) {
         ::close(std::exchange(endpoint.listener, -1));
-        // Guards against a test beside this one that gets the port and is called in this endpoint's place.
-        endpoint.reserved = reserve(endpoint.port);
         for (auto peer = peers_.begin(); peer != peers_.end();) {
           auto at = peer++;
           if (at->second.endpoint == plain[1] && !at->second.client) drop(at->first, true);
         }
       }
-      if (!down && !shared && endpoint.listener < 0) {
-        if (endpoint.reserved >= 0) ::close(std::exchange(endpoint.reserved, -1));
-        endpoint.listener = listen_on(endpoint.port);
-      }
+      if (!down && !shared && endpoint.listener < 0) endpoint.listener = listen_on(endpoint.port());
       if (plain.size() > 2) endpoint.manner = plain[2];
       if (endpoint.manner == "deaf") fill_queue(endpoint);
       else if (endpoint.listener >= 0) listen(endpoint.listener, 64);  // its queue is no longer kept short
       endpoint.how = words;
       if (endpoint.entry.is_null() || words.count("state")) {
         endpoint.entry = {{"uid", plain[1]},
-                          {"endpoint", at(endpoint.port)},
+                          {"endpoint", at(endpoint.port())},
                           {"az", "h0"},
                           {"model", text_or(words, "kind", "m0")},
                           {"pod_group", int(number(words, "for", 1))},
@@ -741,14 +731,14 @@
       EXPECT_TRUE(!gone || (WIFEXITED(status_) && WEXITSTATUS(status_) == 0)) << log();
       old_ = -1;
     } else if (verb == "dial") {
-      EXPECT_GE(connected(plain.at(1), admin_port_), 0) << "nobody listens at the second address";
+      EXPECT_GE(connected(plain.at(1), admin_port_.port()), 0) << "nobody listens at the second address";
     } else if (verb == "program") {
       std::vector<const char*> arguments{PROGRAM};
       for (std::size_t i = 1; i < plain.size(); ++i) arguments.push_back(plain[i].c_str());
       arguments.push_back(nullptr);
       auto pid = fork();
       if (pid == 0) {
-        setenv("BALANCER_ADMIN", at(admin_port_).c_str(), 1);
+        setenv("BALANCER_ADMIN", at(admin_port_.port()).c_str(), 1);
         execv(PROGRAM, const_cast<char* const*>(arguments.data()));
         _exit(127);
       }
@@ -887,7 +877,8 @@
   }
 
   std::string folder_;
-  int agent_ = -1, relay_port_ = 0, admin_port_ = 0, status_ = 0;
+  int agent_ = -1, status_ = 0;
+  ReservedPort relay_port_, admin_port_;
   pid_t pid_ = -1, old_ = -1;
   int passed_ = -1, healths_ = 0;
   std::size_t halts_ = 0;  // of the present process
