Tell a shut destination by two refusals in a row, also where hardly a call is sent

Change: two refusals in a row are a suspicion to each relay that calls less than once in that span; the case for a single one is gone.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -409,7 +409,6 @@
 
  private:
   static constexpr Millis stall = 1000, longest_span = 2500, room_hold = 5000, cap_counts = 30000;
-  static constexpr double hardly_any = 0.1;                    // calls in a limit's span
   static constexpr int handful = 5, learnt_most = 1000;        // connections, that any endpoint takes; routes
   static constexpr double share_slack = 1.3, room_left = 0.3;  // left of a limit: enough for others
 
@@ -731,10 +730,8 @@
   // Refusals without a reason: a met limit, or a shut destination. A limit's span tells them apart, but only
   // for a relay that calls several times within it.
   bool is_refusing(const Route& route) const {
-    double calls_in_span = route.rate_before * longest_span / 1000;
-    if (calls_in_span < hardly_any) return route.refused_in_row > 0;
-    if (calls_in_span < 1) return route.refused_in_row > 1;
-    return route.refused_in_row > 1 && route.paced_at - route.failing_since > longest_span;
+    bool calls_seldom = route.rate_before * longest_span < 1000;
+    return route.refused_in_row > 1 && (calls_seldom || route.paced_at - route.failing_since > longest_span);
   }
   // Calls that the pace allows now; a call takes one.
   double credit(Route& route) {
