--- a/tests/model/cold_fleet_test.cpp
+++ b/tests/model/cold_fleet_test.cpp
@@ -120,5 +120,34 @@
   for (bool relays_talk : {false, true}) expect_bears({OutageKind::refuses_calls, relays_talk}, Bound::rule);
 }
 
+// Drawn plays in which a mistake of its own kind once pushed the destination over. They stay as they were
+// drawn.
+struct DrawnPlay {
+  int relays;
+  std::uint64_t seed;
+  const char* mistake;
+};
+
+TEST(ColdFleet, DrawnPlaysThatOnceBroke) {
+  constexpr DrawnPlay plays[] = {
+      {12, 530, "a connection refused in slow start was taken for a met cap"},
+      {12, 546, "a connection refused in slow start was taken for a met cap"},
+      {12, 1216, "a silence in slow start did not begin the return anew"},
+      {47, 1930, "a failure of long ago hid the refusals of a second outage"},
+      {47, 286, "a refusal in slow start did not lower the pace"},
+      {5, 26, "a fleet of five had no lower pace while calls failed"},
+      {5, 101, "a fleet of five had no lower pace while calls failed"},
+      {5, 1890, "a fleet of five had no lower pace while calls failed"},
+      {5, 6200, "all that slow start had held back went at its end"},
+  };
+  for (const DrawnPlay& play : plays) {
+    ColdScenario scenario = draw_cold_scenario(play.seed, play.relays);
+    ColdReport report = play_cold(scenario, play.seed);
+    EXPECT_FALSE(report.worst.breaks_rule())
+        << play.mistake << "\n"
+        << scenario.told() << ", seed " << play.seed << ": " << told(report.worst);
+  }
+}
+
 }  // namespace
 }  // namespace rockcrank::model
