Hold second outages within a return, fleets of two to five, and the end of slow start

Change: is_suspected, succeeded and the pace after slow start; 0.83 of the multiple in place of 0.8.

--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -475,8 +475,8 @@
     bool beside = endpoint.calls_out > 1 && call.sent - endpoint.answered_at < 2000;
     bool passed = set_.relays > handful && route.cap_met_at > route.answered_at;
     // Where the host tells of its connections, an endpoint at its cap says so in an answer; one that refuses
-    // a connection, or is silent, is out.
-    bool maybe_cap = missed && got.kept < 0 && got.took < 0.5 * set_.connect_within;
+    // a connection, or is silent, is out. So is one that had just come back.
+    bool maybe_cap = missed && got.kept < 0 && got.took < 0.5 * set_.connect_within && !is_cold(route);
     bool once = maybe_cap && set_.relays > handful && endpoint.cap_met_at <= endpoint.answered_at &&
                 !passed && route.failures_in_row == 0;
     if (at_cap || once || ((full || maybe_cap) && beside)) {
@@ -581,8 +581,12 @@
     double failing = route.bad.read(now_) / std::max(1e-3, route.bad.read(now_) + route.good.read(now_) - 1);
     // A cold return binds also the relay that saw a single failure, unless it is one among many answers.
     bool shut = is_refusing(route);
+    // A second outage in the midst of a return: its silence must not count as time to warm up.
+    bool silent_since_failure =
+        (route.failures_in_row > 0 || route.refused_in_row > 0) && now_ - route.failing_since > longest_span;
     // Answers from before the outage would else outweigh the failures of a relay that calls often.
-    bool outage = shut || route.mode != Mode::closed || failing > 0.5;
+    bool outage =
+        shut || route.mode != Mode::closed || failing > 0.5 || (is_cold(route) && silent_since_failure);
     route.refused_in_row = route.failures_in_row = 0;
     // The trial that was answered found it back; the calls that follow must not start its return anew.
     // Nor does a return known since the last failure, as from another relay.
@@ -703,7 +707,8 @@
       if (held >= 1) rate = std::max(rate, 0.5 * route.limit);
     }
     if (route.own_pace > 0) rate = std::min(rate, route.own_pace * std::exp((now_ - route.paced_at) / 4000));
-    if (is_cold(route)) rate = std::min(rate, cold_pace(route, std::max(0.0, now_ - route.cold_since)));
+    if (now_ < route.cold_since + set_.warm_within + SlowStart::opening_within)
+      rate = std::min(rate, cold_pace(route, std::max(0.0, now_ - route.cold_since)));
     if (is_suspected(route)) rate = std::min(rate, suspected_pace(route));
     return rate;
   }
@@ -717,15 +722,17 @@
   double suspected_pace(Route& route) {
     if (std::max(route.failures_in_row, route.refused_in_row) > 1) return cold_pace(route, 0);
     double own_rate = std::max(route.rate_before, 0.5 * route.calls.weight_per_second(0));
-    return slow_start_.rate({own_rate, route.limit}, now_ - route.failing_since);
+    Millis age = std::min(now_ - route.failing_since, set_.warm_within);
+    return slow_start_.rate({own_rate, route.limit}, age);
   }
 
   // A destination whose calls fail may be out, and may return at any moment: until a call is answered it gets
-  // what it would bear at its return. A first failure alone is mostly chance, so the pace grows after it.
+  // what it would bear at its return. A first failure alone is mostly chance, so the pace grows after it. In
+  // slow start a single refusal is enough.
   bool is_suspected(Route& route) {
-    if (set_.relays <= handful || route.mode != Mode::closed || route.failing_since >= never) return false;
-    double bad = route.bad.read(now_);
-    return bad > 0 ? bad > route.good.read(now_) : is_refusing(route);
+    if (set_.relays <= 1 || route.mode != Mode::closed || route.failing_since >= never) return false;
+    return route.bad.read(now_) > route.good.read(now_) || is_refusing(route) ||
+           (is_cold(route) && route.refused_in_row > 0);
   }
   // Refusals without a reason: a met limit, or a shut destination. A limit's span tells them apart, but only
   // for a relay that calls several times within it.
--- a/src/decision/slow_start.cpp
+++ b/src/decision/slow_start.cpp
@@ -2,16 +2,20 @@
 #include "decision/slow_start.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rockcrank {
 namespace {
 
 // Of the allowed multiple. With the sums of full_rate() and a capacity that is a little more than the limit,
-// the calls of all relays come to 0.7 to 0.8 of what is allowed in the mean. The rest, with the slack for
+// the calls of all relays come to 0.72 to 0.83 of what is allowed in the mean. The rest, with the slack for
 // chance that the rule adds, is for spans that hold more: relays that decide alone call at random moments.
-constexpr double used_of_multiple = 0.8;
+constexpr double used_of_multiple = 0.83;
 // All relays together try a destination at least once in this time.
 constexpr double seconds_between_trials = 1;
+// After the slow start the rate of each relay doubles each time this has passed, from this on at the least.
+constexpr Millis doubles_within = 500;
+constexpr double opening_rate = 1;
 // A relay's own part may go beyond its steady rate by the calls of one moment: the credit for one call, a
 // trial, and the calls that follow it.
 constexpr double calls_at_once = 5;
@@ -41,7 +45,9 @@
 
 double SlowStart::rate(const SlowStartInput& input, Millis age) const {
   double least = 1 / (seconds_between_trials * relays_);
-  return std::max(full_rate(input) * capacity_share(age) * allowed_share_, least);
+  double budget = std::max(full_rate(input) * capacity_share(age) * allowed_share_, least);
+  if (age <= warm_within_) return budget;
+  return std::max(budget, opening_rate) * std::exp2((age - warm_within_) / doubles_within);
 }
 
 bool SlowStartMonitor::sent(Millis now, double rate, Millis fall_time) {
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -18,6 +18,10 @@
 
 class SlowStart {
  public:
+  // After the slow start the rate still opens step by step: what was held back must not go at once, as the
+  // age of the return is each relay's own estimate.
+  static constexpr Millis opening_within = 5000;
+
   explicit SlowStart(const Settings& settings);
 
   // Calls a second that this relay may send at this age of the return; at age 0 also while the destination
