--- a/tests/crossings/halt.cpp
+++ b/tests/crossings/halt.cpp
@@ -4,19 +4,24 @@
 // after the call; the test sees that, acts, and lets it go on or kills it. ROCKCRANK_WALL_AHEAD_MS moves the
 // wall clock, and no other. ROCKCRANK_FAIL makes calls fail for a moment, one rule a line as
 // FUNCTION:ERROR:N: each Nth call of FUNCTION ends with that error (SHORT: half of the bytes go), as Linux
-// documents it: a connect that is interrupted goes on.
+// documents it: a connect that is interrupted goes on. N may be a span FROM-TO in milliseconds since the
+// process started: then all calls in it fail. Only writes to regular files fail; before the first that does,
+// half of the bytes of one get through.
 #include <dlfcn.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstdlib>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -67,12 +72,27 @@
 struct Failing {
   std::string function, error;
   long every = 0, calls = 0;
+  long from_ms = 0, to_ms = 0;  // in place of every
 };
 
+long ms_since_start() {
+  static const auto started = std::chrono::steady_clock::now();
+  auto since = std::chrono::steady_clock::now() - started;
+  return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
 std::vector<Failing> failures_told() {
   std::vector<Failing> failures;
-  for (const auto& rule : rules_told("ROCKCRANK_FAIL"))
-    failures.push_back({rule.function, rule.second, std::atol(rule.third.c_str())});
+  for (const auto& rule : rules_told("ROCKCRANK_FAIL")) {
+    Failing failing{rule.function, rule.second};
+    if (auto dash = rule.third.find('-'); dash == std::string::npos)
+      failing.every = std::atol(rule.third.c_str());
+    else
+      failing.from_ms = std::atol(rule.third.c_str()),
+      failing.to_ms = std::atol(rule.third.c_str() + dash + 1);
+    failures.push_back(failing);
+  }
+  ms_since_start();
   return failures;
 }
 
@@ -80,8 +100,13 @@
 std::string failure_of(std::string_view function) {
   static std::vector<Failing> failures = failures_told();
   std::string error;
-  for (auto& failing : failures)
-    if (failing.function == function && ++failing.calls % failing.every == 0) error = failing.error;
+  for (auto& failing : failures) {
+    if (failing.function != function) continue;
+    ++failing.calls;
+    bool now = failing.every > 0 ? failing.calls % failing.every == 0
+                                 : ms_since_start() >= failing.from_ms && ms_since_start() < failing.to_ms;
+    if (now) error = failing.error;
+  }
   return error;
 }
 
@@ -125,6 +150,16 @@
   static auto* real = next<ssize_t(int, const void*, size_t)>("write");
   std::string_view text(static_cast<const char*>(bytes), size);
   halt_at("write", "before", text);
+  struct stat file {};
+  bool regular = fstat(fd, &file) == 0 && S_ISREG(file.st_mode) && fd > STDERR_FILENO;
+  static bool failed_before = false;
+  if (auto failure = regular ? failure_of("write") : ""; failure.empty()) {
+    failed_before = failed_before && !regular;
+  } else if (std::exchange(failed_before, true)) {
+    return fail_with(failure);
+  } else {
+    size = (size + 1) / 2;  // a record is cut in two
+  }
   auto written = real(fd, bytes, size);
   halt_at("write", "after", text);
   return written;
