Deliver what is owed while the folder cannot be written, and tell why connections close

Cause: a turn whose notes could not be written held back all its sends, and a start whose file could not be written threw. A disk that fails for some seconds thus stopped deliveries that no note guards. Excluded: the torn record (skipped at the start, nothing follows it), and the compaction (written anew under another name, then renamed). Change: an attempt goes unnoted where forgetting it does no harm (safe to repeat; or a mark known everywhere for longer than the message lives); ENOSPC, EDQUOT and EIO at a start leave the store to be written later; the file is tried each 0.1 s, with one line when it fails and one when it is back. Clients' connections: a reason for each close, in the log and METRICS.

--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -4,11 +4,13 @@
 #include "relay/clients.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <deque>
 #include <utility>
 #include <vector>
 
+#include "relay/log.h"
 #include "relay/resp.h"
 
 namespace rockcrank {
@@ -30,6 +32,13 @@
 
 }  // namespace
 
+const char* name_of(CloseReason reason) {
+  static constexpr std::array<const char*, close_reason_count> names = {
+      "malformed_command", "incomplete_command", "never_asked", "not_reading", "made_room",
+      "too_many_at_rest",  "descriptors_short",  "shutdown",    "client_gone"};
+  return names[static_cast<std::size_t>(reason)];
+}
+
 class Clients::Client {
  public:
   Client(Clients& owner, std::uint64_t number, int fd)
@@ -51,6 +60,7 @@
   }
   Kept keep() const { return {stream_.keep(), has_asked(), input_over_, finishing_, used_at_}; }
   void give_way() {
+    note_close(CloseReason::descriptors_short);
     stream_.close(), due_.clear();
     owner_.ended(number_);
   }
@@ -82,21 +92,26 @@
 
   // Between requests only: one that has arrived in part is still answered, if the rest can come.
   void close_if_idle() {
-    if (answers_.empty() && (input_over_ || (stream_.received().empty() && stream_.quiet()))) finish();
+    if (!answers_.empty()) return;
+    if (input_over_) finish();
+    else if (stream_.received().empty() && stream_.quiet()) finish(CloseReason::shutdown);
   }
 
   // At the end of this process. What has come of a command never ran, so the client may hand it in elsewhere.
   void close_now() {
     if (finishing_) return;
     if (!stream_.received().empty()) answers_.emplace_back("-BUSY\r\n");
-    finish();
+    finish(CloseReason::shutdown);
   }
 
  private:
   void hear() {
     stream_.on_data = [this] { read(); };
     stream_.on_sent = [this] { go_on(); };
-    stream_.on_end = [this] { owner_.ended(number_); };
+    stream_.on_end = [this] {
+      if (!answers_.empty()) note_close(CloseReason::client_gone);
+      owner_.ended(number_);
+    };
     // Whoever has ended its sending still gets its answers.
     stream_.on_input_end = [this] {
       input_over_ = true;
@@ -104,6 +119,13 @@
     };
   }
 
+  void note_close(CloseReason reason) { owner_.note_close(reason, number_, answers_.size()); }
+
+  void finish(CloseReason reason) {
+    if (!finishing_) note_close(reason);
+    finish();
+  }
+
   void finish() {
     if (!std::exchange(finishing_, true)) due_.set(owner_.loop_.now() + linger);
     pass_on();
@@ -113,11 +135,15 @@
   // Guards against clients that stay silent, send half a command, do not read, or never end a connection that
   // was ended here: each would hold its descriptor for good. One with an open request is waited for.
   void late() {
-    if (answers_.empty() && (finishing_ || stream_.unsent() > 0)) return owner_.ended(number_);
+    if (answers_.empty() && (finishing_ || stream_.unsent() > 0)) {
+      if (stream_.unsent() > 0) note_close(CloseReason::not_reading);
+      return owner_.ended(number_);
+    }
     if (!answers_.empty()) return due_.set(owner_.loop_.now() + linger);
     if (has_asked() && stream_.received().empty()) return;  // at rest: closed only to make room
-    if (!stream_.received().empty()) answers_.emplace_back("-ERR incomplete command\r\n");
-    finish();
+    if (stream_.received().empty()) return finish(CloseReason::never_asked);
+    answers_.emplace_back("-ERR incomplete command\r\n");
+    finish(CloseReason::incomplete_command);
   }
 
   void go_on() {
@@ -156,7 +182,7 @@
       auto number = first_ + answers_.size() - 1;
       if (command.state == Command::State::malformed) {
         answers_.back() = "-ERR malformed command\r\n";
-        return finish();
+        return finish(CloseReason::malformed_command);
       }
       carry_out(command.words, number);
       stream_.consume(command.size);
@@ -250,7 +276,10 @@
     if ((!oldest || client->merit() < oldest->merit()) && client->may_make_way())
       oldest = client.get(), number = other;
   }
-  if (oldest) return ended(number);
+  if (oldest) {
+    note_close(CloseReason::made_room, number, 0);
+    return ended(number);
+  }
   listener_->pause(true);
   full_.set(loop_.now() + look_again);
 }
@@ -265,7 +294,15 @@
     if (!client->at_rest()) continue;
     if (++at_rest == 1 || client->used_at() < oldest->used_at()) oldest = client.get(), number = other;
   }
-  if (at_rest > limits_.at_rest_most && oldest->may_make_way()) ended(number);
+  if (at_rest <= limits_.at_rest_most || !oldest->may_make_way()) return;
+  note_close(CloseReason::too_many_at_rest, number, 0);
+  ended(number);
+}
+
+void Clients::note_close(CloseReason reason, std::uint64_t number, std::size_t unanswered) {
+  ++closed_[static_cast<std::size_t>(reason)];
+  log_line("event=client_closed client=%llu reason=%s unanswered=%zu connections=%zu", 0ULL + number,
+           name_of(reason), unanswered, clients_.size());
 }
 
 void Clients::ended(std::uint64_t number) {
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -2,6 +2,8 @@
 // answers, each in its connection's order; it must never decide whether a document is taken.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +26,21 @@
   std::uint64_t client = 0, number = 0;
 };
 
+// Why this relay closed a client's connection, or how one ended under a command.
+enum class CloseReason : std::uint8_t {
+  malformed_command,
+  incomplete_command,  // the rest of it did not come in time
+  never_asked,
+  not_reading,
+  made_room,  // all places were taken, and a new connection waited
+  too_many_at_rest,
+  descriptors_short,  // the calls needed its descriptor
+  shutdown,
+  client_gone  // before it had all its answers
+};
+constexpr std::size_t close_reason_count = 9;
+const char* name_of(CloseReason reason);
+
 class Clients {
  public:
   struct Limits {
@@ -47,6 +64,7 @@
   void take(const std::vector<Kept>& kept);
   void go_on();  // with what had come on them
   std::size_t size() const { return clients_.size(); }
+  std::uint64_t closed(CloseReason reason) const { return closed_[static_cast<std::size_t>(reason)]; }
   void give_room();            // closes all that may be closed between requests
   void close_after_answers();  // each connection, once nothing on it is unanswered
   void close_now();            // each connection; what has come of a command is turned away
@@ -57,6 +75,7 @@
   void each(Taker take);
   void taken(int fd);
   void ended(std::uint64_t number);
+  void note_close(CloseReason reason, std::uint64_t number, std::size_t unanswered);
   void make_room();
   void thin_out();
 
@@ -65,6 +84,7 @@
   std::map<std::uint64_t, std::unique_ptr<Client>> clients_;
   std::uint64_t last_ = 0;
   bool closing_ = false;
+  std::array<std::uint64_t, close_reason_count> closed_{};
   std::unique_ptr<Listener> listener_;
   Timer full_;
 };
--- a/src/relay/log.cpp
+++ b/src/relay/log.cpp
@@ -21,7 +21,7 @@
     ++dropped;
     return;
   }
-  char line[1000];  // a line of metrics is the longest
+  char line[1600];  // a line of metrics is the longest
   va_list values;
   va_start(values, format);
   std::vsnprintf(line, sizeof line, format, values);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -444,12 +444,12 @@
   }
   if (route_memory_) route_memory_->keep();
   bool kept = store_.flush();
-  if (!kept) hold_back(decided.transmitted);
+  if (!kept) decided.transmitted = hold_back(decided.transmitted);
   answer_arrived(kept);
   for (const auto& one : decided.closed) endpoints_.close_idle(one.endpoint, one.idle_least);
   endpoints_.idle_most = decided.idle_most;
-  if (kept && fleet_) send_or_keep(decided.transmitted);
-  else if (kept) send(decided.transmitted);
+  if (fleet_) send_or_keep(decided.transmitted);
+  else send(decided.transmitted);
   for (const auto& call : decided.called_off) endpoints_.call_off(call.doc, call.transmission);
   for (EndpointId endpoint : decided.forgotten) endpoints_.forget(endpoint), known_.erase(endpoint);
   if (decided.follow_list > 0) watch_.follow(decided.follow_list, decided.list_late);
@@ -465,14 +465,32 @@
   if (fleet_) return true;  // noted when it was chosen
   auto wall = Loop::wall();
   for (const auto& call : calls) store_.sent(call.doc, call.transmission, wall, known_.at(endpoint).hall);
-  return store_.flush();
+  return store_.flush() || std::ranges::all_of(calls, [&](const auto& call) {
+           auto found = store_.held().find(call.doc);
+           return found == store_.held().end() || may_go_unnoted(found->second);
+         });
 }
 
-// The store could not note these, so they do not go; nor any of a document about to be given back.
-void Relay::hold_back(const std::vector<Transmit>& transmitted) {
-  for (const auto& sent : transmitted)
-    if (auto found = store_.held().find(sent.doc); found != store_.held().end())
-      not_begun(sent, found->second.transmissions - 1);
+// Whether an attempt may be made that a kill would make this relay forget: where the effect may be had twice,
+// or where the destination still knows the mark whenever the next process tries again.
+bool Relay::may_go_unnoted(const Held& held) {
+  if (held.type.repeat == Repeat::replayable) return true;
+  return held.type.repeat == Repeat::numbered && held.type.key_group == KeyGroup::everywhere &&
+         held.expiry - Loop::wall() < held.type.key_window;
+}
+
+// The store could not be written. What it would have to note before it goes does not go, nor any of a
+// document about to be given back. The rest, which is owed, goes on.
+std::vector<Transmit> Relay::hold_back(const std::vector<Transmit>& transmitted) {
+  std::vector<Transmit> going;
+  for (const auto& sent : transmitted) {
+    auto found = store_.held().find(sent.doc);
+    if (found == store_.held().end()) continue;
+    bool arrived = std::ranges::any_of(arrived_, [&](const auto& one) { return one.doc == sent.doc; });
+    if (!fleet_ && !arrived && may_go_unnoted(found->second)) going.push_back(sent);
+    else not_begun(sent, found->second.transmissions - 1);
+  }
+  return going;
 }
 
 // Ends that were kept back while it was not known whether this relay still owned the documents.
@@ -633,6 +651,10 @@
   add("called_off", counters.called_off);
   add("breakers_opened", counters.breakers_opened);
   add("cold_returns", counters.cold_returns);
+  for (std::size_t i = 0; i < close_reason_count; ++i) {
+    auto reason = static_cast<CloseReason>(i);
+    add((std::string("clients_closed_") + name_of(reason)).c_str(), clients_.closed(reason));
+  }
   add("checks", counters.invariants.checks());
   for (std::size_t i = 0; i < invariant_count; ++i) {
     auto invariant = static_cast<Invariant>(i);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -56,7 +56,8 @@
   void settle();  // ends the turn: asks the module, notes, answers, sends
   bool note_risk(EndpointId endpoint, const std::vector<Endpoints::Item>& calls);
   void not_begun(const Transmit& sent, int transmission);
-  void hold_back(const std::vector<Transmit>& transmitted);
+  std::vector<Transmit> hold_back(const std::vector<Transmit>& transmitted);
+  static bool may_go_unnoted(const Held& held);
   void answer_arrived(bool kept);
   void answer_held(DocId doc, bool taken);
   void end_kept_back();
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -219,7 +219,11 @@
   std::filesystem::create_directories(folder_);
   find_files();
   keep_time();
-  if (!compact()) throw std::runtime_error("cannot write in the folder " + folder_);
+  if (compact()) return;
+  // An error that may pass: what is held is owed all the same, and the file is written once it can be.
+  behind_ = write_error_ == ENOSPC || write_error_ == EDQUOT || write_error_ == EIO;
+  if (!behind_)
+    throw std::runtime_error("cannot write in the folder " + folder_ + ": " + std::strerror(write_error_));
 }
 
 Store::Store(std::string folder, std::size_t bytes_most, const Passed& passed)
@@ -413,6 +417,7 @@
 
 bool Store::flush() {
   if (pending_.empty() && !behind_) return true;
+  if (write_failures_ > 1 && Loop::monotonic() < write_again_at_) return false;
   // Compaction writes the documents as they are now, with all that is pending.
   if (behind_) pending_.clear();
   if (behind_ || file_bytes_ + pending_.size() + live_bytes_ + notes_bytes_ + slack_bytes > most())
@@ -452,22 +457,31 @@
   return others_.empty() ? bytes_most_ : (bytes_most_ - std::min(bytes_most_, taken)) / 2;
 }
 
+bool Store::not_written(const char* step) {
+  constexpr Millis pause = 100;  // a disk that fails for a while is not tried in each turn
+  write_error_ = errno;
+  write_again_at_ = Loop::monotonic() + pause;
+  if (++write_failures_ == 1)
+    log_line("event=store_not_written step=\"%s\" bytes=%zu reason=\"%s\"", step, live_bytes_,
+             std::strerror(write_error_));
+  return false;
+}
+
 bool Store::compact() {
   auto fresh = path_ + ".new", kept = path_;
   int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0) {
-    log_line("store: cannot make a file: %s", std::strerror(errno));
-    return false;
-  }
+  if (fd < 0) return not_written("make a file");
   auto bytes = image();
   // Locked before it has its name: nobody may find it without an owner.
   ::flock(fd, LOCK_EX | LOCK_NB);
   if (!write_all(fd, bytes) || std::rename(fresh.c_str(), kept.c_str()) != 0) {
-    log_line("store: cannot compact %zu bytes: %s", bytes.size(), std::strerror(errno));
+    not_written("compact");
     ::close(fd);
     std::remove(fresh.c_str());
     return false;
   }
+  if (write_failures_ > 0) log_line("event=store_written failures=%d", write_failures_);
+  write_failures_ = 0;
   if (fd_ >= 0) ::close(fd_);
   fd_ = fd, file_bytes_ = bytes.size(), behind_ = false;
   clock_noted_ = !held_.empty();
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -97,6 +97,7 @@
   std::string image() const;
   std::size_t most() const;
   bool compact();
+  bool not_written(const char* step);  // notes why, from errno; false
   void change(char kind, DocId doc, std::string_view rest, int transmission = 0);  // notes and applies
   void apply(char kind, DocId doc, std::string_view rest);
 
@@ -118,7 +119,10 @@
   std::size_t notes_bytes_ = 0;
   std::string pending_;
   int fd_ = -1;
-  bool behind_ = false;  // a write failed: the file must be written anew before it is added to
+  bool behind_ = false;        // a write failed: the file must be written anew before it is added to
+  int write_error_ = 0;        // why the file could not be written anew the last time
+  int write_failures_ = 0;     // in a row
+  Millis write_again_at_ = 0;  // by the clock that nobody sets; from the second failure on
   std::size_t file_bytes_ = 0, live_bytes_ = 0;
 };
 
