--- a/src/decision/invariants.cpp
+++ b/src/decision/invariants.cpp
@@ -1,8 +1,6 @@
 // The counts of the run-time check; invariants.h says what it is for.
 #include "decision/invariants.h"
 
-#include <numeric>
-
 namespace rockcrank {
 
 const char* name_of(Invariant invariant) {
@@ -29,8 +27,4 @@
   return violations_[static_cast<std::size_t>(invariant)];
 }
 
-std::uint64_t Invariants::violations() const {
-  return std::accumulate(violations_.begin(), violations_.end(), std::uint64_t{0});
-}
-
 }  // namespace rockcrank
--- a/src/decision/invariants.h
+++ b/src/decision/invariants.h
@@ -28,7 +28,6 @@
   bool violated(Invariant invariant, bool holds);
   std::uint64_t checks() const { return checks_; }
   std::uint64_t violations(Invariant invariant) const;
-  std::uint64_t violations() const;
 
  private:
   std::uint64_t checks_ = 0;
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -46,7 +46,6 @@
   // A call goes to a destination in slow start, whose rate is so many calls a second now. True: within the
   // fall time more calls went than this relay's part allows.
   bool sent(Millis now, double rate, Millis fall_time);
-  std::size_t calls() const { return sent_.size(); }
 
  private:
   std::deque<Millis> sent_;
