--- a/src/model/cold_run.cpp
+++ b/src/model/cold_run.cpp
@@ -27,6 +27,11 @@
   return 300 + chance.below(601);
 }
 
+// relays: 0 where their number is drawn too.
+ColdScenario scenario_of(std::uint64_t seed, int relays) {
+  return draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed));
+}
+
 void print_span(const char* what, std::uint64_t seed, const Play& play) {
   const ColdSpan& span = play.report.worst;
   std::printf(
@@ -41,7 +46,7 @@
 
 std::string trace_cold_return(std::uint64_t seed, int relays) {
   std::string trace;
-  play_cold(draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed)), seed, {false, &trace});
+  play_cold(scenario_of(seed, relays), seed, {false, &trace});
   return trace;
 }
 
@@ -51,7 +56,7 @@
   auto work = [&] {
     for (std::uint64_t seed = next++; seed <= last; seed = next++) {
       Play& play = plays[seed - first];
-      play.scenario = draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed));
+      play.scenario = scenario_of(seed, relays);
       play.report = play_cold(play.scenario, seed);
     }
   };
--- a/src/trial/cold.cpp
+++ b/src/trial/cold.cpp
@@ -2,11 +2,12 @@
 #include "trial/cold.h"
 
 #include <algorithm>
-#include <functional>
 #include <random>
 #include <utility>
 #include <vector>
 
+#include "trial/timetable.h"
+
 namespace rockcrank::trial {
 namespace {
 
@@ -17,20 +18,14 @@
 constexpr double messages_a_second = 9;  // for one destination, from all relays
 const char* const outages[] = {"down", "silent", "500", "shut", "reset"};
 
-struct Act {
-  Millis at = 0;
-  std::function<void(Rig&)> does;
-};
-
 class ColdReturns {
  public:
   explicit ColdReturns(Rig& rig) : names_(rig.names()), chance_(rig.setup().seed) {
     draw_outages();
     draw_restarts();
     draw_load();
-    std::stable_sort(acts_.begin(), acts_.end(), [](const Act& a, const Act& b) { return a.at < b.at; });
   }
-  const std::vector<Act>& acts() const { return acts_; }
+  Timetable& timetable() { return timetable_; }
   Millis end() const { return last_return_ + watched_after; }
 
  private:
@@ -38,7 +33,7 @@
     return std::uniform_real_distribution<double>(low, high)(chance_);
   }
   int below(int count) { return static_cast<int>(between(0, count)); }
-  void act(Millis at, std::function<void(Rig&)> does) { acts_.push_back({at, std::move(does)}); }
+  void act(Millis at, Timetable::Action action) { timetable_.add(at, std::move(action)); }
 
   // One destination or two fail, for a while that all relays with messages notice.
   void draw_outages() {
@@ -96,7 +91,7 @@
 
   std::vector<std::string> names_;
   std::mt19937_64 chance_;
-  std::vector<Act> acts_;
+  Timetable timetable_;
   Millis last_return_ = 0;
 };
 
@@ -116,10 +111,7 @@
     if (!rig.start(relay, {})) return relay + " does not answer; its log:\n" + rig.process_log(relay);
   ColdReturns play(rig);
   Millis begun = rig.now();
-  for (const auto& act : play.acts()) {
-    rig.until(begun + act.at - rig.now(), [] { return false; });
-    act.does(rig);
-  }
+  play.timetable().play(rig);
   rig.until(begun + play.end() - rig.now(), [] { return false; });
   for (const auto& relay : rig.names()) {
     rig.go_on(relay);
--- a/src/trial/draw.cpp
+++ b/src/trial/draw.cpp
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "trial/timetable.h"
+
 namespace rockcrank::trial {
 namespace {
 
@@ -19,19 +21,13 @@
 constexpr int destinations = 5;  // 1 has two endpoints; 5 bundles
 const std::vector<int> subscribers{21, 22, 23};
 
-struct Act {
-  Millis at = 0;
-  std::function<void(Rig&)> does;
-};
-
 class Drawing {
  public:
   Drawing(Rig& rig, std::string part, double seconds)
       : names_(rig.names()), part_(std::move(part)), length_(seconds * 1000), rng_(rig.setup().seed) {
     load(), faults();
-    std::stable_sort(acts_.begin(), acts_.end(), [](const Act& a, const Act& b) { return a.at < b.at; });
   }
-  const std::vector<Act>& acts() const { return acts_; }
+  Timetable& timetable() { return timetable_; }
   Millis healed_at() const { return 0.65 * length_; }
 
  private:
@@ -42,7 +38,7 @@
   const std::string& any() {
     return names_[static_cast<std::size_t>(below(static_cast<int>(names_.size())))];
   }
-  void act(Millis at, std::function<void(Rig&)> does) { acts_.push_back({at, std::move(does)}); }
+  void act(Millis at, Timetable::Action action) { timetable_.add(at, std::move(action)); }
 
   void load() {
     static const char* const types[] = {"plain", "plain", "numbered", "binding", "ordered"};
@@ -174,7 +170,7 @@
   std::string part_;
   Millis length_;
   std::minstd_rand rng_;
-  std::vector<Act> acts_;
+  Timetable timetable_;
 };
 
 }  // namespace
@@ -203,18 +199,14 @@
   auto begun = rig.now();
   if (rig.until(5000, [&] { return rig.linked(begun); })) rig.note("peers", {});
   Drawing drawing(rig, part, seconds);
-  begun = rig.now();
   bool joined = !streams;
-  for (const auto& act : drawing.acts()) {
-    rig.until(begun + act.at - rig.now(), [] { return false; });
-    act.does(rig);
-    if (!joined && act.at > drawing.healed_at()) {
-      joined = true;
-      auto late = std::to_string(subscribers.back());
-      rig.endpoint("e" + late, {{"for", late}});
-      rig.note("subscriber", {{"dest", late}});
-    }
-  }
+  drawing.timetable().play(rig, [&](Millis at) {
+    if (joined || at <= drawing.healed_at()) return;
+    joined = true;
+    auto late = std::to_string(subscribers.back());
+    rig.endpoint("e" + late, {{"for", late}});
+    rig.note("subscriber", {{"dest", late}});
+  });
   // All is well again: whoever is not there comes up, and what is owed goes.
   rig.heal();
   rig.note("healed", {});
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -27,7 +27,7 @@
   int relays = 3;
   double seconds = 6;
   bool verbose = false;
-  std::string part, scene, plant, program, log, audited;
+  std::string part, scene, plant, program, faults, log, audited;
 };
 
 Arguments read_arguments(int argc, char** argv) {
@@ -41,6 +41,9 @@
   add("scene", "a file with a fixed case, instead of a seed", cxxopts::value<std::string>());
   add("plant", "a break put into the log, to prove the auditor", cxxopts::value<std::string>());
   add("program", "path of rockcrank; else beside this program", cxxopts::value<std::string>());
+  add("faults",
+      "a library that makes system calls fail (librockcrank_halt.so), with faults drawn from the seed",
+      cxxopts::value<std::string>());
   add("log", "a file for the log of all that was seen", cxxopts::value<std::string>());
   add("audit", "only audit the log in this file", cxxopts::value<std::string>());
   add("verbose", "tell all that is seen");
@@ -56,7 +59,7 @@
     if (given.count(name)) to = given[name].as<std::string>();
   };
   text("part", all.part), text("scene", all.scene), text("plant", all.plant), text("program", all.program);
-  text("log", all.log), text("audit", all.audited);
+  text("faults", all.faults), text("log", all.log), text("audit", all.audited);
   if (given.count("seed")) all.seed = given["seed"].as<unsigned long>();
   if (given.count("relays")) all.relays = given["relays"].as<int>();
   if (given.count("seconds")) all.seconds = given["seconds"].as<double>();
@@ -84,6 +87,8 @@
     }
   if (all.audited.empty() && !std::filesystem::is_regular_file(all.program))
     wrong("no program at '" + all.program + "'; --program PATH tells where rockcrank is");
+  if (!all.faults.empty() && !std::filesystem::is_regular_file(all.faults))
+    wrong("no library at '" + all.faults + "'; --faults PATH tells where librockcrank_halt.so is");
   return all;
 }
 
@@ -115,6 +120,7 @@
   }
   Setup setup;
   setup.program = all.program, setup.relays = all.relays, setup.seed = all.seed, setup.verbose = all.verbose;
+  if (!all.faults.empty()) setup.fault_library = std::filesystem::absolute(all.faults).string();
   setup.settings = plain_settings();
   std::optional<Scene> scene;
   const bool cold = all.scene.empty() && all.part == "cold";
--- /dev/null
+++ b/src/trial/process_faults.cpp
@@ -0,0 +1,71 @@
+// What is drawn for one start of a process; process_faults.h says what this owns.
+#include "trial/process_faults.h"
+
+#include <array>
+#include <functional>
+#include <random>
+
+namespace rockcrank::trial {
+namespace {
+
+struct FailingCall {
+  const char* function;
+  const char* error;
+  int every_least;  // one of so many calls fails, at the most
+  int every_most;
+};
+
+// Errors that pass, as Linux documents them for each call.
+constexpr FailingCall failing_calls[] = {{"accept4", "ECONNABORTED", 4, 40},
+                                         {"accept4", "ENFILE", 8, 60},
+                                         {"socket", "ENFILE", 40, 200},
+                                         {"socket", "ENOBUFS", 40, 200},
+                                         {"connect", "EINTR", 3, 30},
+                                         {"connect", "EADDRNOTAVAIL", 60, 200},
+                                         {"connect", "ENETUNREACH", 60, 200},
+                                         {"poll", "EINTR", 5, 50},
+                                         {"send", "EINTR", 3, 30},
+                                         {"send", "SHORT", 5, 50},
+                                         {"recv", "EINTR", 3, 30},
+                                         {"recv", "SHORT", 5, 50},
+                                         {"recv", "ETIMEDOUT", 300, 900},
+                                         {"recv", "EHOSTUNREACH", 300, 900}};
+constexpr std::array<const char*, 2> disk_errors = {"ENOSPC", "EIO"};
+constexpr std::array<long, 6> clock_steps_ms = {0, 0, 4000, -4000, 3600000, -3600000};
+
+class Draw {
+ public:
+  Draw(std::uint64_t seed, const std::string& relay, int life)
+      : chance_(seed * 1000003 + std::hash<std::string>{}(relay + "/" + std::to_string(life))) {}
+  int between(int low, int high) { return std::uniform_int_distribution<int>(low, high)(chance_); }
+  bool odds(int percent) { return between(1, 100) <= percent; }
+
+ private:
+  std::mt19937_64 chance_;
+};
+
+}  // namespace
+
+std::map<std::string, std::string> draw_process_faults(const std::string& library, std::uint64_t seed,
+                                                       const std::string& relay, int life) {
+  if (library.empty()) return {};
+  Draw draw(seed, relay, life);
+  std::string rules;
+  auto add = [&](const char* function, const char* error, const std::string& when) {
+    rules += std::string(function) + ":" + error + ":" + when + "\n";
+  };
+  for (const auto& call : failing_calls)
+    if (draw.odds(30))
+      add(call.function, call.error, std::to_string(draw.between(call.every_least, call.every_most)));
+  if (draw.odds(25)) {
+    int from = draw.between(0, 16000), to = from + draw.between(300, 4000);
+    add("write", disk_errors[draw.between(0, disk_errors.size() - 1)],
+        std::to_string(from) + "-" + std::to_string(to));
+  }
+  long ahead_ms = clock_steps_ms[draw.between(0, clock_steps_ms.size() - 1)];
+  return {{"LD_PRELOAD", library},
+          {"ROCKCRANK_FAIL", rules},
+          {"ROCKCRANK_WALL_AHEAD_MS", std::to_string(ahead_ms)}};
+}
+
+}  // namespace rockcrank::trial
--- a/src/trial/rig.cpp
+++ b/src/trial/rig.cpp
@@ -18,6 +18,7 @@
 #include <stdexcept>
 
 #include "settings/base64.h"
+#include "trial/process_faults.h"
 
 namespace rockcrank::trial {
 namespace {
@@ -254,6 +255,7 @@
                   {"BALANCER_STATE", folder(id) + "/state"}};
   if (setup_.fleet) variables["BALANCER_FLEET"] = folder(id) + "/fleet.toml";
   ++relay.life;
+  variables.merge(draw_process_faults(setup_.fault_library, setup_.seed, id, relay.life));
   relay.stopped = relay.asked_to_end = false;
   note("start", {{"r", id}, {"life", std::to_string(relay.life)}});
   relay.pid = spawn(folder(id), variables, static_cast<std::uint64_t>(number(words, "file_bytes", 0)));
--- a/src/trial/rig.h
+++ b/src/trial/rig.h
@@ -22,6 +22,7 @@
 
 struct Setup {
   std::string program;
+  std::string fault_library;  // loaded into each process, with faults drawn from the seed; empty: none
   int relays = 3;
   unsigned long seed = 1;
   bool verbose = false;
