Let each ordered key rest after a restart

Cause: the rest after an attempt that may still run is kept with its message; a message that is over is forgotten, and a process that begins knows of no rest for its key. Change: a process that follows one which has ended lets all keys rest once, from its start.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -49,7 +49,8 @@
   auto parts() {
     return std::tie(routes_, lanes_, out_, used_, outs_, idle_broken_, list_failures_, due_, forgot_at_,
                     longest_life_, idle_limit_, taken_, call_number_, calls_out_, connecting_, begun_, freed_,
-                    took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_);
+                    took_, timed_, late_, hung_, idle_breaks_, unconnected_, again_good_, again_bad_,
+                    all_keys_rest_until_);
   }
 
  public:
@@ -70,6 +71,7 @@
   void withdraw(DocId id) override;
   void set_out(EndpointId id, bool out) override;
   void hold(bool held) override { held_ = held; }
+  void follows_ended_process() override { all_keys_rest_until_ = now_ + set_.order_rest; }
   std::string hand_over() override;
   void take_over(const std::string& state) override;
   void leave(Millis within) override { leave_at_ = now_ + within; }
@@ -176,6 +178,7 @@
 
   // Message order
   bool in_turn(const Doc& doc);
+  Millis rests_until(const KeyLane& lane) const { return std::max(lane.rests_until, all_keys_rest_until_); }
 
   // Sending
   const char* overtaken_by(const Call& call, std::uint64_t number);
@@ -226,6 +229,7 @@
   std::vector<std::pair<Grade, Doc*>> waiting_;
   Decided done_;
   Counters counters_;
+  Millis all_keys_rest_until_ = -never;
   int held_at_start_ = -1;   // documents that were there in the first turn
   const char* reason_ = "";  // the rule that is being carried out
   Fading idle_breaks_{30000}, unconnected_{30000}, again_good_{20000}, again_bad_{20000};  // again: see count
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -171,7 +171,7 @@
     if (doc.out > 0) continue;
     wake_at(doc.risked_at + doc.type->key_window - margin()), wake_at(doc.not_before);
     if (doc.not_before > now_) continue;
-    if (doc.ordered) wake_at(lanes_[doc.key].rests_until);
+    if (doc.ordered) wake_at(rests_until(lanes_[doc.key]));
     doc.to->wanted = true;
   }
   for (auto& [id, to] : destinations_) {
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -210,6 +210,9 @@
   virtual void set_out(EndpointId endpoint, bool out) = 0;
   // While another process may still send for this relay, nothing goes; all else is as ever.
   virtual void hold(bool held) = 0;
+  // A process before this one has ended by now, and not all that it sent last is known any more: it may still
+  // run.
+  virtual void follows_ended_process() = 0;
   // All that this module knows, for the one in the process that takes this one's place, on the same clock.
   // The other throws std::exception, and has changed nothing that counts, where it cannot read it.
   virtual std::string hand_over() = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -152,6 +152,7 @@
   if (!taken_over_) take_list(config_.known);
   if (fleet_) fleet_->start();
   if (route_memory_ && !taken_over_) route_memory_->restore();
+  if (store_.had_owner()) decision_->follows_ended_process();
   std::vector<DocId> all;
   for (const auto& [doc, held] : store_.held())
     if (!taken_over_ || held.ended) all.push_back(doc);
@@ -233,6 +234,7 @@
 void Relay::adopt() {
   begin();
   for (DocId doc : store_.adopt()) owe(doc);
+  decision_->follows_ended_process();
   if (!store_.alone()) return adopt_due_.set(loop_.now() + look_again);
   decision_->hold(false);
   log_line("%s sends: the process before it has ended", config_.name.c_str());
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -272,6 +272,7 @@
 void Store::take_up(const std::string& path, int fd) {
   std::remove((path + ".new").c_str());
   recover(bytes_of(path), last_);
+  had_owner_ = true;
   keep_time();
   taken_up_.emplace_back(path, fd);
 }
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -59,6 +59,7 @@
   // Files of other processes that live: none; else adopt() takes up those whose owner has ended since, and
   // says which documents came.
   bool alone() const { return others_.empty(); }
+  bool had_owner() const { return had_owner_; }  // a process that has ended left a file
   std::vector<DocId> adopt();
   ~Store();
   Store(const Store&) = delete;
@@ -119,6 +120,7 @@
   std::size_t notes_bytes_ = 0;
   std::string pending_;
   int fd_ = -1;
+  bool had_owner_ = false;
   bool behind_ = false;        // a write failed: the file must be written anew before it is added to
   int write_error_ = 0;        // why the file could not be written anew the last time
   int write_failures_ = 0;     // in a row
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -771,6 +771,7 @@
   void withdraw(DocId) override {}
   void set_out(EndpointId, bool) override {}
   void hold(bool) override {}
+  void follows_ended_process() override {}
   std::string hand_over() override { return {}; }
   void take_over(const std::string&) override {}
   void leave(Millis) override {}
