Say once what a mark allows, and look for routes to keep only where some are

That a mark is known everywhere stood in may_reject, note_end and the relay; which attempt may go unnoted was decided in the relay: both are DocType's now. to_keep went through all routes in each turn; a flag says whether any was marked. The shim's write said its two steps in three branches.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -44,8 +44,8 @@
 
 // Rule 2: a rejection tells the client that trying again is harmless.
 bool Decider::may_reject(const Doc& doc) const {
-  bool known = doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere;
-  return doc.type->repeat == Repeat::replayable || (doc.out == 0 && (known || !doc.may_have_run()));
+  bool harmless = doc.type->marked_everywhere() || !doc.may_have_run();
+  return doc.type->repeat == Repeat::replayable || (doc.out == 0 && harmless);
 }
 
 // What can still make its agreed time first, then the late, then the rest. In each the most valuable first;
@@ -80,8 +80,8 @@
 
 void Decider::note_end(const Doc& doc, bool rejected) {
   ++(rejected ? counters_.rejected : counters_.abandoned);
-  bool harmless = doc.type->repeat == Repeat::replayable || !doc.may_have_run() ||
-                  (doc.type->repeat == Repeat::numbered && doc.type->key_group == KeyGroup::everywhere);
+  bool harmless =
+      doc.type->repeat == Repeat::replayable || !doc.may_have_run() || doc.type->marked_everywhere();
   bool safe = !rejected || (harmless && (doc.out == 0 || doc.type->repeat == Repeat::replayable));
   bool in_time = now_ <= doc.expiry;
   counters_.invariants.violated(Invariant::safe_rejection, safe);
--- a/src/decision/circuit_breaker.cpp
+++ b/src/decision/circuit_breaker.cpp
@@ -18,7 +18,7 @@
   // The next try comes at a moment drawn from the time that the slow pace takes for one call, so that the
   // tries of relays that failed together do not come together.
   if (first && is_suspected(route)) route.credit = drawn(0, 1), route.credited_at = now_;
-  route.failed_at = now_, route.keep = true;
+  route.failed_at = now_, keep(route);
   // A refusal alone says that the limit is met; only a streak longer than a limit's span tells a shut one.
   bool shut = !waits && now_ - route.failing_since > longest_span;
   if (call.sent < route.opened_at || (refused && route.mode == Mode::closed && !shut)) return;
@@ -29,7 +29,7 @@
 // A hold longer than any limit's span is an outage: what it kept back must not burst out at its end.
 bool Decider::told_wait(Route& route, Millis until, bool limit_met) {
   if (until <= route.told_until) return route.news;
-  route.told_until = until, route.keep = true;
+  route.told_until = until, keep(route);
   if (limit_met || until - std::min(now_, route.failing_since) <= longest_span) return true;
   note_rate(route);
   if (!is_cold(route))
@@ -57,7 +57,7 @@
           ++counters_.cold_returns;
     route.cold_since = now_, route.news = true;
   }
-  route.keep |= route.failing_since < never;
+  if (route.failing_since < never) keep(route);
   if (route.mode == Mode::closed) route.failing_since = never;
   if (route.mode == Mode::trial) route.mode = Mode::following, route.follow_left = follow_calls;
   else if (route.mode == Mode::following && --route.follow_left <= 0) {
@@ -71,7 +71,8 @@
     ++counters_.breakers_opened;
     log(route, "breaker_open", {{"failures", route.failures_in_row}, {"failing", route.bad.read(now_)}});
   }
-  route.mode = Mode::open, route.opened_at = route.down_at = now_, route.news = route.keep = true;
+  route.mode = Mode::open, route.opened_at = route.down_at = now_, route.news = true;
+  keep(route);
   Millis own = 1000 / cold_pace(route, 0);
   route.trial_at =
       now_ + std::max(varied(trial_pause), own > trial_pause ? std::min(exponential(own), 2 * own) : 0);
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -116,6 +116,9 @@
   void note_end(const Doc& doc, bool rejected);
   bool crowds_out(Doc& doc);
 
+  // Knowledge
+  void keep(Route& route) { route.keep = some_to_keep_ = true; }
+
   // Outcomes
   void count(Call& call, const Outcome& got);
   void note_failed_attempt(const Doc& doc, const Outcome& got, const Route& route);
@@ -128,7 +131,6 @@
   void succeeded(Route& route);
   void open(Route& route);
   int to_open(Route& route);
-  // The rules: each a condition and an effect.
   bool trial_is_due(Route& route) { return route.mode == Mode::open && now_ >= route.trial_at; }
   void allow_trial(Route& route) { route.mode = Mode::trial; }
   bool fails_in_row(Route& r);
@@ -194,6 +196,7 @@
   void check_writing(const Doc& doc, const Endpoint& endpoint);
   void check(Invariant invariant, bool holds, const Route& route, DocId doc);
 
+  // The rules: each a condition and an effect.
   static constexpr Rule<Decider, Route> route_rules[] = {
       {"five failures in a row open", &Decider::fails_in_row, &Decider::open},
       {"one trial after the pause", &Decider::trial_is_due, &Decider::allow_trial},
@@ -215,7 +218,8 @@
   std::uint64_t taken_ = 0, call_number_ = 0;
   int list_failures_ = 0, calls_out_ = 0, connecting_ = 0, begun_ = 0, freed_ = 0;  // freed: called off
   Call* overdue_ = nullptr;                                                         // the furthest, if any
-  bool held_ = false;  // another process may still send
+  bool held_ = false;         // another process may still send
+  bool some_to_keep_ = true;  // routes may be marked so, as after a hand-over
   Fading took_{8000}, timed_{8000}, late_{8000}, hung_{8000};
   std::map<RouteKey, Route> routes_;
   std::map<EndpointId, Endpoint> endpoints_;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -37,6 +37,13 @@
   Millis key_window = 0;
   bool in_order = false;
   bool operator==(const DocType&) const = default;
+  // Its destination tells a repeat from a first attempt by the mark, wherever the repeat goes.
+  bool marked_everywhere() const { return repeat == Repeat::numbered && key_group == KeyGroup::everywhere; }
+  // Whether an attempt may be made that a kill would make the relay forget, so long before the expiry: where
+  // the effect may be had twice, or where the mark is still known whenever the next process tries again.
+  bool may_forget_attempt(Millis left) const {
+    return repeat == Repeat::replayable || (marked_everywhere() && left < key_window);
+  }
   auto fields() {
     return std::tie(agreed_time, lifetime, value, late_value, repeat, key_group, key_window, in_order);
   }
--- a/src/decision/pacing.cpp
+++ b/src/decision/pacing.cpp
@@ -24,7 +24,7 @@
 
 // Where all relays were told the same moment, they do not call in the same instant.
 void Decider::cold_from(Route& route, Millis since) {
-  route.cold_since = since, route.keep = true;
+  route.cold_since = since, keep(route);
   route.credited_at = std::max(now_, since), route.credit = drawn(0, 1);
 }
 
--- a/src/decision/route_knowledge.cpp
+++ b/src/decision/route_knowledge.cpp
@@ -19,6 +19,7 @@
 
 std::vector<Knowledge> Decider::to_keep() {
   std::vector<Knowledge> kept;
+  if (!std::exchange(some_to_keep_, false)) return kept;
   for (auto& [key, route] : routes_) {
     if (!std::exchange(route.keep, false)) continue;
     auto one = route.known(key.first, now_, is_cold(route), true);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -473,12 +473,8 @@
          });
 }
 
-// Whether an attempt may be made that a kill would make this relay forget: where the effect may be had twice,
-// or where the destination still knows the mark whenever the next process tries again.
 bool Relay::may_go_unnoted(const Held& held) {
-  if (held.type.repeat == Repeat::replayable) return true;
-  return held.type.repeat == Repeat::numbered && held.type.key_group == KeyGroup::everywhere &&
-         held.expiry - Loop::wall() < held.type.key_window;
+  return held.type.may_forget_attempt(held.expiry - Loop::wall());
 }
 
 // The store could not be written. What it would have to note before it goes does not go, nor any of a
--- a/tests/crossings/halt.cpp
+++ b/tests/crossings/halt.cpp
@@ -153,12 +153,11 @@
   struct stat file {};
   bool regular = fstat(fd, &file) == 0 && S_ISREG(file.st_mode) && fd > STDERR_FILENO;
   static bool failed_before = false;
-  if (auto failure = regular ? failure_of("write") : ""; failure.empty()) {
-    failed_before = failed_before && !regular;
-  } else if (std::exchange(failed_before, true)) {
-    return fail_with(failure);
-  } else {
-    size = (size + 1) / 2;  // a record is cut in two
+  if (regular) {
+    auto failure = failure_of("write");
+    bool failed_last = std::exchange(failed_before, !failure.empty());
+    if (failed_before && failed_last) return fail_with(failure);
+    if (failed_before) size = (size + 1) / 2;  // a record is cut in two
   }
   auto written = real(fd, bytes, size);
   halt_at("write", "after", text);
