Judge each event by the time at which it was read, in an open turn too

Callers saw requests before a Retry-After had passed. The module was given the time once a turn, and the loop's clock stood still for an iteration: an answer that was read later in an open turn was judged by the turn's beginning, and its wait ended early by all that lay between (a stop, a busy core, a slow disk).

Now EventLoop::now() reads the clock at each call, and Relay::begin_turn() gives the module the present time with each event (Decision::update_time()). The overdue retries are spread after a stall in an open turn as well.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -74,6 +74,7 @@
   DocTypeId type_id(const DocType& type) override;
   void update_settings(const Settings& settings) override;
   void begin_turn(Millis now) override;
+  void update_time(Millis now) override;
   void update_endpoints(const std::vector<EndpointEntry>& entries, bool whole) override;
   void discovery_failed(bool refused, Millis duration) override;
   void accept(const Document& document) override;
@@ -120,6 +121,7 @@
   // The turn
   void remove(Doc& doc);
   void forget_unused();
+  void spread_overdue_retries();
   Millis next_due();
 
   // The list of endpoints
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -32,12 +32,21 @@
 }
 
 void Decider::begin_turn(Millis now) {
-  // After a stall of the relay itself, retries that fell due meanwhile are spread again, so that they are not
-  // sent at once.
-  if (now > due_at_ + min_stall && due_at_ > 0)
-    for (auto& [id, doc] : docs_)
-      if (doc.transmissions > 0 && doc.not_before <= now) doc.not_before = now + uniform(0, backoff_base);
-  now_ = now, actions_ = {}, batches_of_turn_.clear();
+  update_time(now);
+  batches_of_turn_.clear();
+}
+
+void Decider::update_time(Millis now) {
+  bool stalled = due_at_ > 0 && now > std::max(due_at_, now_) + min_stall;
+  now_ = std::max(now_, now);
+  if (stalled) spread_overdue_retries();
+}
+
+// After a stall of the relay itself, retries that fell due meanwhile are spread again, so that they are not
+// sent at once.
+void Decider::spread_overdue_retries() {
+  for (auto& [id, doc] : docs_)
+    if (doc.transmissions > 0 && doc.not_before <= now_) doc.not_before = now_ + uniform(0, backoff_base);
 }
 
 void Decider::withdraw(DocId id) {
@@ -149,7 +158,7 @@
   if (now_ >= discovery_at_) actions_.long_poll_wait = poll_wait, discovery_at_ = never;
   actions_.discovery_timeout = settings_.local_discovery_agent ? backoff_base : 2.5 * trial_delay;
   due_at_ = next_due(), actions_.wake_in = due_at_ >= never ? -1 : std::max(0.0, due_at_ - now_);
-  return std::move(actions_);
+  return std::exchange(actions_, {});
 }
 
 void Decider::remove(Doc& doc) {
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -228,6 +228,9 @@
   virtual ~Decision() = default;
 
   virtual void begin_turn(Millis now) = 0;
+  // The present time, in a turn or between two. Each event is judged by the time given last, which must not
+  // be earlier than the event was read: a wait would else end too early.
+  virtual void update_time(Millis now) = 0;
   // whole: endpoints that are not among the entries are gone.
   virtual void update_endpoints(const std::vector<EndpointEntry>& entries, bool whole) = 0;
   // A discovery call failed or its connection was lost, this long after the request; 0: unknown to the host.
--- a/src/peer/component.h
+++ b/src/peer/component.h
@@ -31,7 +31,7 @@
   const Config& config;
   const std::map<EndpointId, EndpointEntry>& listed_endpoints;  // endpoints in this relay's list
   std::function<void()> begin_turn;            // opens a turn, so that the decision module runs soon
-  std::function<Millis()> turn_start;          // start time of the open turn, or of the last one
+  std::function<Millis()> decision_time;       // the time that the decision module was given last
   std::function<void(DocId)> resume_document;  // delivers a stored document, or reports its end
   // Removes a document from the store without sending or reporting anything more.
   std::function<void(DocId)> discard_document;
--- a/src/peer/shared_state.cpp
+++ b/src/peer/shared_state.cpp
@@ -68,12 +68,12 @@
     turn_timer_.set(relay_.loop.now());
   }
 
-  // Publishes what this relay learned in the turn that just ended, with ages corrected for its start time.
+  // Publishes what this relay learned in the turn that just ended, with ages corrected for the time since then.
   void after_turn(const Actions&) override {
     auto statuses = relay_.decision.route_statuses(false);
     if (statuses.empty()) return;
     begin_turn();
-    Millis elapsed = relay_.loop.now() - relay_.turn_start();
+    Millis elapsed = relay_.loop.now() - relay_.decision_time();
     for (auto& status : statuses) {
       if (status.retry_after_left > 0) urgent_ = true, status.retry_after_left -= elapsed;
       urgent_ |= status.state != RouteState::healthy;
@@ -139,10 +139,10 @@
     schedule_write(!actions.route_statuses.empty() || !actions.offline_orders.empty());
   }
 
-  // The decision module measures from the start of its turn.
+  // The decision module measures from the time that it was given last.
   void apply(std::vector<RouteStatus>& route_statuses) {
     relay_.begin_turn();
-    Millis elapsed = relay_.loop.now() - relay_.turn_start();
+    Millis elapsed = relay_.loop.now() - relay_.decision_time();
     for (auto& status : route_statuses) {
       if (status.retry_after_left > 0) status.retry_after_left += elapsed;
       status.state_age = std::max(0.0, status.state_age - elapsed),
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -92,7 +92,7 @@
   return address;
 }
 
-EventLoop::EventLoop() { update_now(); }
+EventLoop::EventLoop() = default;
 
 // The offset from the monotonic clock is read once per process: stepping the system clock later must not move
 // deadlines, windows and waits, which are spans of real time.
@@ -108,8 +108,6 @@
       .count();
 }
 
-void EventLoop::update_now() { now_ = monotonic_time(); }
-
 void EventLoop::add(int fd, short events, EventHandler* handler) {
   index_by_fd_[fd] = pollfds_.size();
   pollfds_.push_back({fd, events, 0});
@@ -132,24 +130,16 @@
 void EventLoop::run() {
   running_ = true;
   while (running_) {
-    update_now();
     int timeout = -1;
     if (!timers_.empty())
-      timeout = static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - now_), 0.0, 60000.0));
+      timeout = static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - now()), 0.0, 60000.0));
     int count = poll(pollfds_.data(), pollfds_.size(), timeout);
-    update_now();
     std::size_t known = pollfds_.size();
     for (std::size_t i = 0; count > 0 && i < known && running_; ++i) {
       if (pollfds_[i].revents == 0 || !handlers_[i]) continue;
       handlers_[i]->ready(pollfds_[i].revents);
     }
-    auto last = last_timer_id_;
-    while (running_ && !timers_.empty() && timers_.begin()->first.first <= now_ &&
-           timers_.begin()->first.second <= last) {
-      Timer* timer = timers_.begin()->second;
-      timer->clear();
-      timer->callback_();
-    }
+    run_due_timers();
     std::size_t kept = 0;
     for (std::size_t i = 0; i < pollfds_.size(); ++i) {
       if (pollfds_[i].fd < 0) continue;
@@ -163,6 +153,18 @@
   }
 }
 
+// Timers that their callbacks set wait for the next iteration, so that they cannot starve the descriptors.
+void EventLoop::run_due_timers() {
+  const Millis due = now();
+  const auto last = last_timer_id_;
+  while (running_ && !timers_.empty() && timers_.begin()->first.first <= due &&
+         timers_.begin()->first.second <= last) {
+    Timer* timer = timers_.begin()->second;
+    timer->clear();
+    timer->callback_();
+  }
+}
+
 void Timer::set(Millis when) {
   clear();
   key_ = {when, ++loop_.last_timer_id_};
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -27,9 +27,10 @@
 class EventLoop {
  public:
   EventLoop();
-  Millis now() const { return now_; }  // monotonic, cached for this iteration
+  // Monotonic. Read anew at each call: an iteration may last long, and the process may be stopped in it.
+  static Millis now() { return monotonic_time(); }
   static Millis wall_time();           // Unix time, by the system clock as read at process start
-  static Millis monotonic_time();      // read now, not cached
+  static Millis monotonic_time();
   void run();
   void stop() { running_ = false; }
 
@@ -45,7 +46,7 @@
  private:
   friend class Timer;
   using TimerKey = std::pair<Millis, std::uint64_t>;  // due time, timer id
-  void update_now();
+  void run_due_timers();
 
   std::vector<pollfd> pollfds_;
   std::vector<EventHandler*> handlers_;
@@ -53,7 +54,6 @@
   std::map<TimerKey, class Timer*> timers_;
   std::vector<std::shared_ptr<void>> deferred_deletes_;
   std::uint64_t last_timer_id_ = 0;
-  Millis now_ = 0;
   bool running_ = true;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -129,7 +129,7 @@
 void Relay::start_fleet() {
   fleet_context_.emplace(peer::RelayContext{
       loop_, *decision_, store_, endpoints_, config_, known_endpoints_, [this] { begin_turn(); },
-      [this] { return turn_began_; }, [this](DocId doc) { begin_turn(), resume_document(doc); },
+      [this] { return decision_time_; }, [this](DocId doc) { begin_turn(), resume_document(doc); },
       [this](DocId doc) { release(doc); },
       [this](DocId doc, bool accepted) { answer_pending(doc, accepted); },
       [this](const std::string& endpoint, bool offline) {
@@ -203,11 +203,12 @@
 }
 
 void Relay::begin_turn() {
-  if (std::exchange(turn_open_, true)) return;
-  decision_->begin_turn(turn_began_ = loop_.now());
+  decision_time_ = loop_.now();
+  if (std::exchange(turn_open_, true)) return decision_->update_time(decision_time_);
+  decision_->begin_turn(decision_time_);
   for (const auto& outcome : std::exchange(unsent_outcomes_, {})) decision_->outcome(outcome);
   // At most one turn per tick, which is a setting, so that documents arriving together can be sent together.
-  turn_timer_.set(std::max(loop_.now(), last_turn_at_ + config_.settings.tick));
+  turn_timer_.set(std::max(decision_time_, last_turn_at_ + config_.settings.tick));
 }
 
 Document Relay::to_document(const StoredDocument& stored, DocId doc, Millis wall) const {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -53,7 +53,7 @@
   void enqueue(const EnqueueCommand& command, ReplyTo reply_to);
   void on_outcome(const Outcome& outcome);
   void apply_endpoint_list(const EndpointListUpdate& list);
-  void begin_turn();  // opens a turn if none is open
+  void begin_turn();  // opens a turn if none is open, and gives the module the present time
   void end_turn();    // asks the module, writes the store, replies to clients, sends
   bool record_in_doubt(EndpointId endpoint, const std::vector<Endpoints::InFlightTransmission>& calls);
   void report_not_sent(const Transmit& sent, int transmission);
@@ -116,7 +116,8 @@
   std::vector<Outcome> unsent_outcomes_;  // reported to the module in the next turn
   std::int64_t list_version_ = -1;
   int list_failures_ = 0;
-  Millis last_turn_at_ = -1e18, turn_began_ = 0;
+  Millis last_turn_at_ = -1e18;
+  Millis decision_time_ = 0;  // the time that the decision module was given last
   bool turn_open_ = false, shutting_down_ = false, taken_over_ = false, handed_over_ = false;
   Millis shutdown_deadline_ = 0;
 };
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -291,8 +291,9 @@
 
 // Nothing is written on a connection that is established in the round in which its call's timeout is due.
 TEST_F(Calls, ConnectedInTheRoundOfItsTimeout) {
+  const Millis called_at = EventLoop::monotonic_time();
   call({{1, 1}, {2, 1000}});
-  while (EventLoop::monotonic_time() < loop_.now() + 10) {}
+  while (EventLoop::monotonic_time() < called_at + 10) {}
   run_until([&] { return !outcomes_.empty(); });
   EXPECT_EQ(results(), Results(2, TransmissionResult::not_connected));
   EXPECT_EQ(server_.request(0), "");
