Ask right before each call is written, by a view that is at most 10 ms old

Callers saw requests before a Retry-After had passed. A turn decides, then writes its store, answers clients and writes its calls, and asked neither socket nor clock again where the connection was already up: a wait that arrived meanwhile lay unread, for as long as the process was stopped, had no processor or waited for its disk.

Now each call, kept connection or new, asks Relay::may_write() after the store's write and right before its first byte. If the view is older than max_view_age (10 ms, the decision module's), answers and lists that have arrived are read first; the module is asked by the present time. A call that is refused was never written: it spends no attempt. A call's deadline is the module's, no longer the time of its beginning plus its time-out, which moved with each stall. The view counts from the poll of an iteration only once all its handlers have run.

In the ordinary turn this costs a clock reading and no system call.

Calls.BegunAfterItsDeadline and Calls.KeptConnectionAsksBeforeItsFirstByte guard the class; on the program before, kept connections asked nothing.

--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -147,6 +147,7 @@
   Millis duration = 0;
   Millis connection_idle_time = -1;  // before this call; 0: new connection; negative: unknown to the host
   bool connection_closed = false;    // by the endpoint, with its answer
+  bool never_written = false;        // the host did not begin the call
   LoadHints hints;
 };
 
@@ -154,6 +155,7 @@
   DocId doc{};
   EndpointId endpoint{};
   Millis timeout = 0;
+  Millis deadline = 0;  // its end on the clock that the host reports: the host may begin the call late
 };
 
 struct Cancel {
@@ -187,9 +189,13 @@
   Millis wake_in = -1;  // negative: only at the next event
 };
 
-// Whether a call may be written now that its connection is up.
+// Whether a call may be written now.
 enum class SendPermission { now, later, never };
 
+// A request is not written by a view of the world that is older than this: what has arrived since is read
+// first. Well inside the 100 ms in which calls that cross a Retry-After are let through.
+constexpr Millis max_view_age = 10;
+
 enum class RouteState : std::uint8_t { healthy, down, recovering };
 
 // What a relay has learned about a route, for other relays and for its own next process. All times are
@@ -213,7 +219,7 @@
   std::uint64_t retried_documents = 0;  // further transmissions of a document
   std::uint64_t slow_start_calls = 0;   // to destinations in slow start, or that may be down
   std::uint64_t trial_calls = 0;        // in half-open breakers
-  std::uint64_t not_started = 0;        // given up once the connection was up
+  std::uint64_t not_started = 0;        // chosen, and not written after all
   std::uint64_t rejected = 0;
   std::uint64_t abandoned = 0;
   std::uint64_t canceled = 0;
@@ -263,8 +269,8 @@
   virtual bool has_destination(DestinationId destination) const = 0;
   // For a document that is not accepted; 0: the client gets none.
   virtual Millis retry_after(DestinationId destination) = 0;
-  // The call needs a new connection, and takes no slot while that comes up. Then may_send() says whether the
-  // call may be written; after `later` it is asked again in each turn.
+  // The call needs a new connection, and takes no slot while that comes up. may_send() is asked right before
+  // each call is written; after `later` it is asked again in each turn.
   virtual void note_connecting(DocId doc, int transmission) = 0;
   virtual SendPermission may_send(DocId doc, int transmission) = 0;
   virtual const Counters& counters() const = 0;
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -44,6 +44,7 @@
     Doc& doc = held->second;
     --doc.in_flight;
     if (outcome.exhausted) doc.max_transmissions = std::min(doc.max_transmissions, doc.transmissions);
+    else if (outcome.never_written) ++doc.max_transmissions;  // it spent none
     if ((outcome_unknown || outcome.result == TransmissionResult::error) && !doc.may_have_run())
       doc.may_have_run_at = call.sent_at, doc.may_have_run_zone = call.endpoint->zone;
     if (outcome.completed) remove(doc);
--- a/src/decision/sending.cpp
+++ b/src/decision/sending.cpp
@@ -7,8 +7,9 @@
 
 namespace rockcrank::internal {
 
-// Endpoint status and Retry-After are checked again at the moment of sending. Calls whose connection is up
-// get a slot before any new call.
+// Asked right before each call is written, by the present time: since the call was chosen its connection may
+// have come up late, or the process may have been held up. Calls whose connection is up get a slot before any
+// new call.
 SendPermission Decider::may_send(DocId doc, int transmission) {
   auto found = in_flight_.find({doc, transmission});
   if (found == in_flight_.end()) return SendPermission::never;
@@ -26,7 +27,7 @@
   return SendPermission::now;
 }
 
-// Why a chosen call must not be sent although its connection is up now, or null.
+// Why a chosen call must not be sent after all, or null.
 const char* Decider::reason_not_to_send(const Call& call, std::uint64_t number) {
   if (now_ < call.route->retry_after_until) return "told_wait";
   if (!call.endpoint->accepts_calls()) return "closed_endpoint";
@@ -121,7 +122,8 @@
     route.tokens = available_tokens(route) - 1;
   }
   ++calls_[number].document_count;
-  actions_.transmissions.push_back({doc.id, endpoint.id, call_timeout(doc, route)});
+  const Millis timeout = call_timeout(doc, route);
+  actions_.transmissions.push_back({doc.id, endpoint.id, timeout, now_ + timeout});
   in_flight_[{doc.id, doc.transmissions}] = {number, doc.key, doc.ordered};
   if (doc.ordered) ++key_queues_[doc.key].in_flight;
   doc.destination->ready_retry_safe -= doc.type->retry_safety != RetrySafety::unsafe;
--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -50,6 +50,10 @@
   close_connection();
 }
 
+void AgentClient::read_pending() {
+  if (in_flight_ && stream_) stream_->read_now();
+}
+
 void AgentClient::fail() {
   close_connection();
   if (std::exchange(in_flight_, false)) on_failure();
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -26,6 +26,7 @@
   void send_request(std::string request, Millis timeout);
   void set_agent(const Address& agent);  // drops the request in flight
   bool in_flight() const { return in_flight_; }
+  void read_pending();  // an answer that has arrived, without waiting for poll
   Millis elapsed() const { return loop_.now() - sent_at_; }  // since the last request was sent
 
  private:
@@ -54,6 +55,7 @@
   // list.
   void start(Millis wait, Millis timeout);
   void set_agent(const Address& agent);  // continues there at once from the current version
+  void read_pending() { client_.read_pending(); }
 
  private:
   void poll();
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -15,16 +15,15 @@
 namespace rockcrank {
 namespace {
 
-// A call can only be aborted as a whole, so it ends with the shortest timeout of its documents.
-Millis call_timeout(const std::vector<OutboundTransmission>& transmissions) {
-  Millis shortest = transmissions.front().timeout;
-  for (const auto& sent : transmissions) shortest = std::min(shortest, sent.timeout);
-  return std::max(0.0, shortest);
+// A call can only be aborted as a whole, so it ends with the earliest deadline of its documents.
+Millis call_deadline(const std::vector<OutboundTransmission>& transmissions) {
+  return std::ranges::min(transmissions, {}, &OutboundTransmission::deadline).deadline;
 }
 
-std::string build_request(const std::vector<OutboundTransmission>& transmissions, const std::string& host) {
+std::string build_request(const std::vector<OutboundTransmission>& transmissions, const std::string& host,
+                          Millis time_left) {
   char timeout[32];
-  std::snprintf(timeout, sizeof timeout, "%.3f", call_timeout(transmissions) / 1000);
+  std::snprintf(timeout, sizeof timeout, "%.3f", time_left / 1000);
   std::string body, head;
   if (transmissions.size() == 1) {
     head = "POST /v1/messages HTTP/1.1\r\nRequest-Id: " + std::string(transmissions[0].id) + "\r\n";
@@ -141,14 +140,15 @@
     started_at_ = owner_.loop_.now();
     connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
     report_preconnect(PreconnectEvent::used);
-    const Millis deadline = started_at_ + call_timeout(transmissions);
+    const Millis deadline = call_deadline(transmissions);
     for (const auto& sent : transmissions)
       transmissions_.push_back({sent.doc, sent.transmission, deadline, std::string(sent.id)});
     is_batch_ = transmissions.size() > 1;
-    request_ = build_request(transmissions, address_.host + ":" + std::to_string(address_.port));
+    request_ = build_request(transmissions, address_.host + ":" + std::to_string(address_.port),
+                             std::max(0.0, deadline - started_at_));
     start_call_timer();
     start_connect_timer();
-    if (stream_.state() == Stream::State::connected) write();
+    if (stream_.state() == Stream::State::connected) record_and_write();
     else owner_.on_connecting(transmissions_[0].doc, transmissions_[0].transmission);
   }
   void start_preconnect() {
@@ -162,22 +162,14 @@
     if (owner_.on_preconnect) owner_.on_preconnect(endpoint_, event);
   }
   void on_discard() { report_preconnect(was_connected_ ? PreconnectEvent::unused : PreconnectEvent::failed); }
-  // Asks again whether the call may begin: while the connection was established, the endpoint may have
-  // requested a wait, which applies to this call too, or the slots may have been taken, which is no fault of
-  // the endpoint.
+  // The connection is up, or a call that was told to begin later may be written now.
   void resume() {
-    if (request_.empty()) return;
-    // A call must not be written after its deadline, or after one of its documents has been reported as
-    // ended.
-    if (owner_.loop_.now() >= transmissions_[0].deadline) return abort(TransmissionResult::not_connected);
-    if (std::ranges::any_of(transmissions_,
-                            [&](const InFlightTransmission& item) { return owner_.is_finished(item.doc); }))
-      return abort(TransmissionResult::not_sent);
-    auto permission = owner_.may_begin(transmissions_[0].doc, transmissions_[0].transmission);
-    deferred_ = permission == SendPermission::later;
-    if (deferred_) owner_.deferred_.emplace_back(transmissions_[0].doc, transmissions_[0].transmission);
-    else if (permission == SendPermission::now) write();
-    else abort(TransmissionResult::not_sent);
+    // Asked before anything is recorded too, as a call may wait here for long.
+    if (!request_.empty() && may_begin()) record_and_write();
+  }
+  // Reads an answer that has arrived. Before its request is written a connection has none.
+  void read_pending() {
+    if (request_.empty() && !transmissions_.empty()) stream_.read_now();
   }
   // No socket could be created, or the connection was refused immediately.
   bool failed_to_open() const { return stream_.state() == Stream::State::closed; }
@@ -226,11 +218,40 @@
   // Whether the endpoint cannot have the whole request: until its last byte is written, the call never ran.
   bool has_unwritten_bytes() const { return !request_.empty() || stream_.unsent_bytes() > 0; }
 
-  void write() {
+  // The one way in which a request's first byte goes out.
+  void record_and_write() {
     if (!owner_.before_write(endpoint_, transmissions_)) return abort(TransmissionResult::not_sent);
+    if (!may_begin()) {
+      if (!transmissions_.empty()) owner_.on_write_deferred(transmissions_);
+      return;
+    }
     stream_.send(std::exchange(request_, {}));
   }
 
+  // Whether the call may be written now. Where it may not, it is ended here, or deferred.
+  bool may_begin() {
+    // A call must not be written after its deadline, or after one of its documents has been reported as
+    // ended.
+    if (is_past_deadline()) return abort(unwritten_result()), false;
+    if (std::ranges::any_of(transmissions_,
+                            [&](const InFlightTransmission& item) { return owner_.is_finished(item.doc); }))
+      return abort(TransmissionResult::not_sent), false;
+    auto permission = owner_.may_write(transmissions_[0].doc, transmissions_[0].transmission);
+    deferred_ = permission == SendPermission::later;
+    if (deferred_) owner_.deferred_.emplace_back(transmissions_[0].doc, transmissions_[0].transmission);
+    if (permission == SendPermission::never) abort(TransmissionResult::not_sent);
+    return permission == SendPermission::now;
+  }
+
+  bool is_past_deadline() const {
+    return owner_.loop_.now() >= std::ranges::min(transmissions_, {}, &InFlightTransmission::deadline).deadline;
+  }
+
+  // The result of a call that ran out of time unwritten: its connection came up late, or this process was.
+  TransmissionResult unwritten_result() const {
+    return connection_idle_time_ > 0 ? TransmissionResult::not_sent : TransmissionResult::not_connected;
+  }
+
   void start_connect_timer() {
     if (stream_.state() == Stream::State::connecting && owner_.limits_.connect_timeout > 0)
       connect_timer_.set(started_at_ + owner_.limits_.connect_timeout);
@@ -265,6 +286,7 @@
     outcome.duration = owner_.loop_.now() - started_at_;
     outcome.retry_after = wait, outcome.hints = hints, outcome.connection_idle_time = connection_idle_time_,
     outcome.connection_closed = connection_closed_;
+    outcome.never_written = has_unwritten_bytes() && result.result == TransmissionResult::not_sent;
     owner_.in_flight_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
   }
@@ -482,6 +504,13 @@
     if (auto found = in_flight_.find(call); found != in_flight_.end()) found->second->resume();
 }
 
+void Endpoints::read_pending() {
+  std::vector<std::pair<DocId, int>> calls;
+  for (const auto& [call, connection] : in_flight_) calls.push_back(call);
+  for (const auto& call : calls)
+    if (auto found = in_flight_.find(call); found != in_flight_.end()) found->second->read_pending();
+}
+
 void Endpoints::close_idle(EndpointId endpoint, Millis min_idle) {
   auto found = pools_.find(endpoint);
   if (found == pools_.end()) return;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -1,7 +1,7 @@
 // Connection pool for HTTP/1.1 calls to endpoints, one call at a time on each connection. It carries out the
 // calls chosen by the decision module and reports the outcome of each transmission and of each preconnect. It
-// neither chooses an endpoint nor retries; before a call is written on a new connection it asks whether the
-// call may still begin.
+// neither chooses an endpoint nor retries; before the first byte of each call is written it asks whether the call may
+// still be written.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +23,7 @@
 struct OutboundTransmission {
   DocId doc{};
   int transmission = 0;
-  Millis timeout = 0;
+  Millis deadline = 0;  // of its answer
   std::string_view id, idempotency_key, body;  // of the stored document; copied into the request
 };
 
@@ -67,11 +67,16 @@
 
   std::function<void(const Outcome&)> on_outcome;
   std::function<void(DocId, int)> on_connecting;
-  std::function<SendPermission(DocId, int)> may_begin;
+  // Whether the call of this transmission may be written now. Asked with an up-to-date view: the owner calls
+  // read_pending() first where its view is old.
+  std::function<SendPermission(DocId, int)> may_write;
   std::function<bool(DocId)> is_finished;  // the document has ended, whether or not its notice was sent
-  // Called right before a call's first byte is written, because from then on it may run. False: it may not be
-  // written.
+  // Called before a call's first byte is written, because from then on it may run. False: it may not be
+  // written. It may take long, so may_write is asked after it.
   std::function<bool(EndpointId, const std::vector<InFlightTransmission>&)> before_write;
+  // The call was not written after all, and waits.
+  std::function<void(const std::vector<InFlightTransmission>&)> on_write_deferred =
+      [](const std::vector<InFlightTransmission>&) {};
   Millis max_idle_time = 0;  // set before each turn's calls: a connection idle for longer is not reused
 
   // Applies to connections opened or becoming idle from now on.
@@ -86,6 +91,7 @@
   void call(EndpointId endpoint, const std::vector<OutboundTransmission>& transmissions);  // all in one call
   void cancel(DocId doc, int transmission);
   void resume_deferred();  // calls that were told to begin later
+  void read_pending();     // answers that have arrived, without waiting for poll
   void close_idle(EndpointId endpoint, Millis min_idle = 0);
   void remove(EndpointId endpoint);  // it must have no call in flight
   bool no_calls_in_flight() const { return active_.empty(); }
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -134,11 +134,13 @@
     if (!timers_.empty())
       timeout = static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - now()), 0.0, 60000.0));
     int count = poll(pollfds_.data(), pollfds_.size(), timeout);
+    const Millis polled_at = now();
     std::size_t known = pollfds_.size();
     for (std::size_t i = 0; count > 0 && i < known && running_; ++i) {
       if (pollfds_[i].revents == 0 || !handlers_[i]) continue;
       handlers_[i]->ready(pollfds_[i].revents);
     }
+    inputs_read_at_ = polled_at;
     run_due_timers();
     std::size_t kept = 0;
     for (std::size_t i = 0; i < pollfds_.size(); ++i) {
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -31,6 +31,8 @@
   static Millis now() { return monotonic_time(); }
   static Millis wall_time();           // Unix time, by the system clock as read at process start
   static Millis monotonic_time();
+  // All that had arrived at this time has been handed to the handlers.
+  Millis inputs_read_at() const { return inputs_read_at_; }
   void run();
   void stop() { running_ = false; }
 
@@ -54,6 +56,7 @@
   std::map<TimerKey, class Timer*> timers_;
   std::vector<std::shared_ptr<void>> deferred_deletes_;
   std::uint64_t last_timer_id_ = 0;
+  Millis inputs_read_at_ = -1e18;
   bool running_ = true;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -81,10 +81,10 @@
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
     decision_->note_connecting(doc, transmission);
   };
-  endpoints_.may_begin = [this](DocId doc, int transmission) {
-    begin_turn();
-    if (!owns(doc)) return SendPermission::later;
-    return decision_->may_send(doc, transmission);
+  endpoints_.may_write = [this](DocId doc, int transmission) { return may_write(doc, transmission); };
+  endpoints_.on_write_deferred = [this](const std::vector<Endpoints::InFlightTransmission>& calls) {
+    if (fleet_) return;  // recorded when it was chosen
+    for (const auto& call : calls) store_.record_never_ran(call.doc, call.transmission);
   };
   endpoints_.is_finished = [this](DocId doc) {
     auto found = store_.documents().find(doc);
@@ -211,6 +211,28 @@
   turn_timer_.set(std::max(decision_time_, last_turn_at_ + config_.settings.tick));
 }
 
+// Whether a chosen call may be written now. The decision may be old by any time in which this process was
+// stopped, had no processor or waited for its disk; so what has arrived meanwhile is read first.
+SendPermission Relay::may_write(DocId doc, int transmission) {
+  refresh_view();
+  if (!owns(doc)) return begin_turn(), SendPermission::later;
+  auto permission = decision_->may_send(doc, transmission);
+  if (permission != SendPermission::now) begin_turn();
+  return permission;
+}
+
+void Relay::refresh_view() {
+  const Millis now = loop_.now();
+  const Millis age = now - std::max(loop_.inputs_read_at(), refreshed_at_);
+  if (age > max_view_age) {
+    refreshed_at_ = now;
+    endpoints_.read_pending();
+    watch_.read_pending();
+  }
+  decision_time_ = loop_.now();
+  decision_->update_time(decision_time_);
+}
+
 Document Relay::to_document(const StoredDocument& stored, DocId doc, Millis wall) const {
   Document document;
   document.id = doc;
@@ -607,7 +629,7 @@
   // the protocol's limit on the body.
   struct Batch {
     EndpointId endpoint{};
-    std::vector<OutboundTransmission> transmissions;
+    std::vector<Transmit> transmissions;
     std::size_t bytes = 0;
   };
   std::vector<Batch> calls;
@@ -633,10 +655,25 @@
     }
     Batch& batch = calls[batch_index->second];
     batch.bytes += bytes;
-    batch.transmissions.push_back(
-        {sent.doc, stored.transmissions - 1, sent.timeout, stored.id, stored.idempotency_key, stored.body});
+    batch.transmissions.push_back(sent);
+  }
+  for (const auto& batch : calls) {
+    std::vector<OutboundTransmission> outbound;
+    for (const auto& sent : batch.transmissions)
+      outbound.push_back(to_outbound(sent, store_.documents().at(sent.doc)));
+    endpoints_.call(batch.endpoint, outbound);
   }
-  for (const auto& batch : calls) endpoints_.call(batch.endpoint, batch.transmissions);
+}
+
+OutboundTransmission Relay::to_outbound(const Transmit& sent, const StoredDocument& stored) const {
+  OutboundTransmission outbound;
+  outbound.doc = sent.doc;
+  outbound.transmission = stored.transmissions - 1;
+  outbound.deadline = sent.deadline;
+  outbound.id = stored.id;
+  outbound.idempotency_key = stored.idempotency_key;
+  outbound.body = stored.body;
+  return outbound;
 }
 
 // With a fleet, a call waits as a whole while one of its documents may not be sent yet.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -53,6 +53,8 @@
   void enqueue(const EnqueueCommand& command, ReplyTo reply_to);
   void on_outcome(const Outcome& outcome);
   void apply_endpoint_list(const EndpointListUpdate& list);
+  SendPermission may_write(DocId doc, int transmission);
+  void refresh_view();
   void begin_turn();  // opens a turn if none is open, and gives the module the present time
   void end_turn();    // asks the module, writes the store, replies to clients, sends
   bool record_in_doubt(EndpointId endpoint, const std::vector<Endpoints::InFlightTransmission>& calls);
@@ -70,6 +72,7 @@
   void release(DocId doc);
   void end_document(DocId doc, bool rejected, Millis wait);
   void send(const std::vector<Transmit>& transmissions);
+  OutboundTransmission to_outbound(const Transmit& sent, const StoredDocument& stored) const;
   std::string metrics();
   void log_metrics();
   std::string set_offline(const std::string& name, bool offline);
@@ -118,6 +121,7 @@
   int list_failures_ = 0;
   Millis last_turn_at_ = -1e18;
   Millis decision_time_ = 0;  // the time that the decision module was given last
+  Millis refreshed_at_ = -1e18;  // when answers and lists were read outside of the loop's own round
   bool turn_open_ = false, shutting_down_ = false, taken_over_ = false, handed_over_ = false;
   Millis shutdown_deadline_ = 0;
 };
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -123,7 +123,7 @@
     endpoints_.before_write = [](EndpointId, const std::vector<Endpoints::InFlightTransmission>&) {
       return true;
     };
-    endpoints_.may_begin = [this](DocId, int) { return ++may_begin_calls_, may_begin_; };
+    endpoints_.may_write = [this](DocId, int) { return ++may_write_calls_, may_write_; };
     endpoints_.is_finished = [this](DocId doc) { return finished_.count(doc) > 0; };
   }
 
@@ -132,7 +132,7 @@
     std::vector<OutboundTransmission> transmissions;
     for (auto [number, timeout] : documents)
       transmissions.push_back(
-          {DocId(number), 0, timeout, ids_.at(static_cast<std::size_t>(number)), "", body});
+          {DocId(number), 0, loop_.now() + timeout, ids_.at(static_cast<std::size_t>(number)), "", body});
     endpoints_.call(endpoint, transmissions);
   }
 
@@ -187,8 +187,8 @@
   EventLoop loop_;
   ScriptedEndpoint server_;
   Endpoints endpoints_;
-  SendPermission may_begin_ = SendPermission::now;
-  int may_begin_calls_ = 0;  // how often may_begin was called
+  SendPermission may_write_ = SendPermission::now;
+  int may_write_calls_ = 0;  // how often may_write was called
   std::set<DocId> finished_;
   std::vector<Outcome> outcomes_;
 };
@@ -279,11 +279,11 @@
 // The same holds for a batch that waits for a slot: no request written later contains the document whose time
 // was up.
 TEST_F(Calls, DeferredBatchEndsWithItsShortestTimeout) {
-  may_begin_ = SendPermission::later;
+  may_write_ = SendPermission::later;
   call({{1, 1000}, {2, 100}});
   run_until([&] { return !outcomes_.empty(); });
   EXPECT_EQ(results(), Results(2, TransmissionResult::not_sent));
-  may_begin_ = SendPermission::now;
+  may_write_ = SendPermission::now;
   endpoints_.resume_deferred();
   EXPECT_EQ(server_.request(0), "");
   EXPECT_TRUE(server_.is_ended(0));
@@ -312,11 +312,11 @@
 
 // The same for a call that was deferred.
 TEST_F(Calls, DeferredCallAfterOneOfItsDocumentsEnded) {
-  may_begin_ = SendPermission::later;
+  may_write_ = SendPermission::later;
   call({{1, 1000}, {2, 1000}});
-  run_until([&] { return may_begin_calls_ > 0; });
+  run_until([&] { return may_write_calls_ > 0; });
   EXPECT_TRUE(outcomes_.empty());
-  may_begin_ = SendPermission::now;
+  may_write_ = SendPermission::now;
   finished_.insert(DocId(2));
   endpoints_.resume_deferred();
   EXPECT_EQ(results(), Results(2, TransmissionResult::not_sent));
@@ -326,7 +326,7 @@
 // A wait requested while the connection is being established prevents the call.
 TEST_F(Calls, RequestedWaitWhileConnecting) {
   call({{1, 1000}, {2, 1000}});
-  may_begin_ = SendPermission::never;
+  may_write_ = SendPermission::never;
   run_until([&] { return !outcomes_.empty(); });
   EXPECT_EQ(results(), Results(2, TransmissionResult::not_sent));
   EXPECT_EQ(server_.request(0), "");
@@ -382,6 +382,24 @@
   EXPECT_EQ(results(), Results(3, TransmissionResult::not_connected));
 }
 
+// A call that this process begins only after its deadline is not written on a kept connection either.
+TEST_F(Calls, BegunAfterItsDeadline) {
+  leave_one_idle();
+  call({{2, 1000}, {3, -1}});
+  EXPECT_EQ(results(), Results(2, TransmissionResult::not_sent));
+  EXPECT_TRUE(outcomes_[0].never_written);
+  EXPECT_EQ(server_.request(0).find("id2"), std::string::npos);
+}
+
+// A call on a kept connection asks before its first byte, as the view that chose it may be old.
+TEST_F(Calls, KeptConnectionAsksBeforeItsFirstByte) {
+  leave_one_idle();
+  may_write_ = SendPermission::never;
+  call({{2, 1000}});
+  EXPECT_EQ(results(), Results{TransmissionResult::not_sent});
+  EXPECT_EQ(server_.request(0).find("id2"), std::string::npos);
+}
+
 // A reset long after a request.
 TEST_F(Calls, ResetLongAfterARequest) {
   call({{1, 1000}, {2, 1000}});
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -703,7 +703,7 @@
       return true;
     };
     endpoints.is_finished = [](DocId) { return false; };
-    endpoints.may_begin = [](DocId, int) { return SendPermission::now; };
+    endpoints.may_write = [](DocId, int) { return SendPermission::now; };
     endpoints.max_idle_time = 1e18;
     endpoints.set_address(EndpointId{1}, {"127.0.0.1", port});
   }
@@ -798,6 +798,7 @@
   std::set<EndpointId> allowed_endpoints;
   std::vector<std::pair<EndpointId, int>> queries;
   int turns = 0;
+  void update_time(Millis) override {}
   bool may_preconnect(EndpointId endpoint, int up) override {
     queries.emplace_back(endpoint, up);
     return allowed_endpoints.count(endpoint) > 0;
