Add a failing test: the rest of a request is written after a wait was told

A call counts by its last byte. Where the endpoint's buffers take only a part of a request, the rest goes when they drain, whatever was told meanwhile. Seen: the call went on (no outcome in 3 s).

--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -400,6 +400,17 @@
   EXPECT_EQ(server_.request(0).find("id2"), std::string::npos);
 }
 
+// The rest of a request that the endpoint took only in part is not written once its destination told a wait.
+TEST_F(SlowReader, WaitToldWithinARequest) {
+  call({{1, 5000}}, std::string(16 << 20, 'x'));
+  run_until([&] { return server_.has_unread_bytes(0); });
+  may_write_ = SendPermission::never;
+  run_until([&] { return server_.request(0).size() > 0 && !outcomes_.empty(); });
+  ASSERT_EQ(results(), Results{TransmissionResult::not_sent});
+  EXPECT_TRUE(outcomes_[0].never_written);
+  EXPECT_FALSE(server_.has_request(0));
+}
+
 // A reset long after a request.
 TEST_F(Calls, ResetLongAfterARequest) {
   call({{1, 1000}, {2, 1000}});
