Ask again before the rest of a request is written

Callers could see a request end up at a destination whose wait had been told before its last byte: bytes that the endpoint's buffers had not taken went out when they drained, and nobody was asked. A call counts by its last byte.

Now the stream asks its owner before such bytes (Stream::may_write_rest), the call passes the same guard as at its first byte, and where it is refused the connection is closed: the call never ran.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -213,6 +213,7 @@
     };
     stream_.on_data = [this] { read(false); };
     stream_.on_close = [this] { read(true); };
+    stream_.may_write_rest = [this] { return may_write_rest(); };
   }
 
   // Whether the endpoint cannot have the whole request: until its last byte is written, the call never ran.
@@ -243,6 +244,17 @@
     return permission == SendPermission::now;
   }
 
+  // The last bytes of a request count as its call: where the endpoint takes them late, they go only if the
+  // call might still begin.
+  bool may_write_rest() {
+    if (transmissions_.empty() || !request_.empty()) return true;
+    if (!is_past_deadline() &&
+        owner_.may_write(transmissions_[0].doc, transmissions_[0].transmission) == SendPermission::now)
+      return true;
+    abort(TransmissionResult::not_sent);
+    return false;
+  }
+
   bool is_past_deadline() const {
     return owner_.loop_.now() >= std::ranges::min(transmissions_, {}, &InFlightTransmission::deadline).deadline;
   }
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -335,6 +335,7 @@
     if (!flush()) return handle_close();
     return update_events();
   }
+  if ((events & POLLOUT) && !output_.empty() && may_write_rest && !may_write_rest()) return;
   if ((events & POLLOUT) && !flush()) return handle_close();
   shutdown_write_when_flushed();
   update_events();
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -108,6 +108,9 @@
   std::function<void()> on_data;   // more bytes were received
   std::function<void()> on_drain;  // bytes that could not be written at once have been written
   std::function<void()> on_close;  // the connection failed or was closed by the peer; called once
+  // Asked before bytes that could not be written at once are written after all; false: the owner has closed
+  // this connection.
+  std::function<bool()> may_write_rest;
   // The peer has shut down its sending side and can still receive. If not set, this closes the connection.
   std::function<void()> on_half_close;
 
