Heed the wait of a refusal that was not received whole

A 429 or 503 whose header had arrived and whose body was then cut short, garbled or never came counted as a lost connection, and its wait was dropped: the next call went out within it.

--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -144,6 +144,7 @@
   bool completed = false;  // the document has its final answer
   bool exhausted = false;  // no transmissions are left, whatever this relay has counted
   Millis retry_after = 0;
+  bool answer_incomplete = false;  // retry_after is from an answer that was cut short or garbled further on
   Millis duration = 0;
   Millis connection_idle_time = -1;  // before this call; 0: new connection; negative: unknown to the host
   bool connection_closed = false;    // by the endpoint, with its answer
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -22,9 +22,10 @@
     if (outcome_unknown) queue.settled_at = std::max(queue.settled_at, now_ + settings_.order_settle_time);
   }
   // A Retry-After binds every call of the route; each document of a batch may carry its own.
-  if (outcome.retry_after > 0)
+  const Millis wait = binding_wait(outcome);
+  if (wait > 0)
     call.route->publish_pending =
-        apply_retry_after(*call.route, now_ + outcome.retry_after, limit_is_exhausted(outcome.hints));
+        apply_retry_after(*call.route, now_ + wait, limit_is_exhausted(outcome.hints));
   Millis overdue_duration = overdue_after(*call.route);
   if ((timed_out || canceled) && outcome.duration > 1.1 * overdue_duration / call.route->timeout_factor)
     hung_calls_.add(now_, 1);
@@ -55,8 +56,7 @@
       Millis pause = backoff(++doc.failures);
       doc.not_before =
           now_ + (outcome.result == TransmissionResult::refused ? uniform(0, 2) * pause : jittered(pause));
-      if (outcome.retry_after > 0 && !choose_endpoint(doc, settings_.slots + 1))
-        doc.not_before += outcome.retry_after;
+      if (wait > 0 && !choose_endpoint(doc, settings_.slots + 1)) doc.not_before += wait;
       log_failed_transmission(doc, outcome, *call.route);
     }
   }
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -181,7 +181,9 @@
       result = TransmissionResult::not_connected;
     if (never_ran && (deferred_ || result == TransmissionResult::canceled))
       result = TransmissionResult::not_sent;
-    finish_all({result, false}, 0, {});
+    const Millis wait = incomplete_answer_wait();
+    answer_incomplete_ = wait > 0;
+    finish_all({result, false}, wait, {});
     owner_.discard(*this);
   }
 
@@ -281,6 +283,31 @@
     return transmissions_.empty();
   }
 
+  // The wait of a refusal of which at least the header's line has arrived whole. The status may be garbled, so
+  // the outcome is not taken from such an answer; a wait that is heeded in vain does little harm.
+  Millis incomplete_answer_wait() const {
+    if (transmissions_.empty() || has_unwritten_bytes() || stream_.received().empty()) return 0;
+    auto answer = parse_response(stream_.received(), max_body_bytes, true);
+    bool refused = answer.status == 429 || answer.status == 503;
+    return refused ? retry_after_of(answer) : 0;
+  }
+
+  Millis retry_after_of(const HttpResponse& answer) const {
+    auto text = answer.header("Retry-After");
+    if (text.empty()) return 0;
+    try {
+      return std::max(0.0, std::ceil(1000 * parse_number(text, "Retry-After")));
+    } catch (const ParseError& fault) {
+      log_invalid_header(fault);
+      return 0;
+    }
+  }
+
+  void log_invalid_header(const ParseError& fault) const {
+    log_line("invalid header in an answer of endpoint %llx: %s", static_cast<unsigned long long>(endpoint_),
+             fault.what());
+  }
+
   void on_timeout() {
     if (transmissions_.empty()) return owner_.discard(*this);  // idle or draining for long enough
     if (stream_.state() == Stream::State::connecting) return abort(TransmissionResult::not_connected);
@@ -298,6 +325,7 @@
     outcome.duration = owner_.loop_.now() - started_at_;
     outcome.retry_after = wait, outcome.hints = hints, outcome.connection_idle_time = connection_idle_time_,
     outcome.connection_closed = connection_closed_;
+    outcome.answer_incomplete = answer_incomplete_;
     outcome.never_written = has_unwritten_bytes() && result.result == TransmissionResult::not_sent;
     owner_.in_flight_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
@@ -336,16 +364,11 @@
   }
 
   void process_response(const HttpResponse& answer) {
-    Millis wait = 0;
+    const Millis wait = retry_after_of(answer);
     LoadHints hints;
     try {
-      if (auto text = answer.header("Retry-After"); !text.empty())
-        wait = std::max(0.0, std::ceil(1000 * parse_number(text, "Retry-After")));
       if (auto text = answer.header("Server-Load"); !text.empty()) hints = parse_hints(text, '=');
-    } catch (const ParseError& fault) {
-      log_line("invalid header in an answer of endpoint %llx: %s", static_cast<unsigned long long>(endpoint_),
-               fault.what());
-    }
+    } catch (const ParseError& fault) { log_invalid_header(fault); }
     auto all = result_of(answer);
     connection_closed_ = answer.closes_connection;
     if (!is_batch_ || answer.status != 200) return finish_all(all, wait, hints);
@@ -373,6 +396,7 @@
   bool is_batch_ = false;
   bool deferred_ = false;           // connected, but told to begin later
   bool connection_closed_ = false;  // the answer closes the connection
+  bool answer_incomplete_ = false;  // the call ended without the rest of it
   bool draining_ = false;           // the outcome is reported, the rest of the answer is still awaited
   bool preconnected_ = false, was_connected_ = false;  // preconnected_: not used by a call yet
   Millis started_at_ = 0, idle_since_ = 0, connection_idle_time_ = 0;
