Log and count how old the view was at each write, and when the process was held up

New: event=held_up with how late a timer was (from 50 ms on, once a second at most), and in the metrics views_refreshed, late_rounds, latest_round_ms and view_age_ms, a histogram of the view's age at each question before a write.

--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -159,6 +159,8 @@
 void EventLoop::run_due_timers() {
   const Millis due = now();
   const auto last = last_timer_id_;
+  if (on_timer && !timers_.empty() && timers_.begin()->first.first <= due)
+    on_timer(due - timers_.begin()->first.first);
   while (running_ && !timers_.empty() && timers_.begin()->first.first <= due &&
          timers_.begin()->first.second <= last) {
     Timer* timer = timers_.begin()->second;
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -33,6 +33,7 @@
   static Millis monotonic_time();
   // All that had arrived at this time has been handed to the handlers.
   Millis inputs_read_at() const { return inputs_read_at_; }
+  std::function<void(Millis late)> on_timer;  // by how much the earliest due timer is late
   void run();
   void stop() { running_ = false; }
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -24,6 +24,8 @@
 // read and dropped.
 constexpr Millis final_reply_time = 300;
 constexpr Millis metrics_interval = 10000;
+constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
+constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
 constexpr int handover_format = 1;  // incremented with every change of what make_handover_payload() returns
 
@@ -94,6 +96,7 @@
                                    const std::vector<Endpoints::InFlightTransmission>& calls) {
     return record_in_doubt(endpoint, calls);
   };
+  loop_.on_timer = [this](Millis late) { on_timer(late); };
   watch_.version = [this] { return list_version_; };
   watch_.on_failure = [this](bool turned_away, Millis took) {
     begin_turn();
@@ -144,6 +147,7 @@
 }
 
 Relay::~Relay() {
+  loop_.on_timer = nullptr;
   if (admin_) admin_->on_health = nullptr, admin_->on_metrics = nullptr, admin_->on_set_offline = nullptr;
 }
 
@@ -224,8 +228,10 @@
 void Relay::refresh_view() {
   const Millis now = loop_.now();
   const Millis age = now - std::max(loop_.inputs_read_at(), refreshed_at_);
+  view_ages_.add(age);
   if (age > max_view_age) {
     refreshed_at_ = now;
+    ++views_refreshed_;
     endpoints_.read_pending();
     watch_.read_pending();
   }
@@ -233,6 +239,16 @@
   decision_->update_time(decision_time_);
 }
 
+// Records that this process was held up: stopped, without a processor, or waiting for its disk.
+void Relay::on_timer(Millis late) {
+  if (late < late_round) return;
+  ++late_rounds_;
+  latest_round_ = std::max(latest_round_, late);
+  if (loop_.now() < late_logged_at_ + late_log_interval) return;
+  late_logged_at_ = loop_.now();
+  log_line("event=held_up late_ms=%.0f times=%llu", late, static_cast<unsigned long long>(late_rounds_));
+}
+
 Document Relay::to_document(const StoredDocument& stored, DocId doc, Millis wall) const {
   Document document;
   document.id = doc;
@@ -732,6 +748,10 @@
     auto reason = static_cast<CloseReason>(i);
     add((std::string("clients_closed_") + name_of(reason)).c_str(), clients_.closed_count(reason));
   }
+  add("views_refreshed", views_refreshed_);
+  add("late_rounds", late_rounds_);
+  add("latest_round_ms", static_cast<std::uint64_t>(latest_round_));
+  text += " view_age_ms=" + view_ages_.text();
   add("checks", counters.invariants.checks());
   for (std::size_t i = 0; i < invariant_count; ++i) {
     auto invariant = static_cast<Invariant>(i);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -23,6 +23,7 @@
 #include "relay/loop.h"
 #include "relay/route_state_store.h"
 #include "relay/store.h"
+#include "relay/view_age.h"
 
 namespace rockcrank {
 
@@ -55,6 +56,7 @@
   void apply_endpoint_list(const EndpointListUpdate& list);
   SendPermission may_write(DocId doc, int transmission);
   void refresh_view();
+  void on_timer(Millis late);
   void begin_turn();  // opens a turn if none is open, and gives the module the present time
   void end_turn();    // asks the module, writes the store, replies to clients, sends
   bool record_in_doubt(EndpointId endpoint, const std::vector<Endpoints::InFlightTransmission>& calls);
@@ -121,6 +123,9 @@
   int list_failures_ = 0;
   Millis last_turn_at_ = -1e18;
   Millis decision_time_ = 0;  // the time that the decision module was given last
+  ViewAgeHistogram view_ages_;
+  std::uint64_t views_refreshed_ = 0, late_rounds_ = 0;
+  Millis latest_round_ = 0, late_logged_at_ = -1e18;
   Millis refreshed_at_ = -1e18;  // when answers and lists were read outside of the loop's own round
   bool turn_open_ = false, shutting_down_ = false, taken_over_ = false, handed_over_ = false;
   Millis shutdown_deadline_ = 0;
