--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -258,7 +258,8 @@
   }
 
   bool is_past_deadline() const {
-    return owner_.loop_.now() >= std::ranges::min(transmissions_, {}, &InFlightTransmission::deadline).deadline;
+    return owner_.loop_.now() >=
+           std::ranges::min(transmissions_, {}, &InFlightTransmission::deadline).deadline;
   }
 
   // The result of a call that ran out of time unwritten: its connection came up late, or this process was.
@@ -283,8 +284,8 @@
     return transmissions_.empty();
   }
 
-  // The wait of a refusal of which at least the header's line has arrived whole. The status may be garbled, so
-  // the outcome is not taken from such an answer; a wait that is heeded in vain does little harm.
+  // The wait of a refusal of which at least the header's line has arrived whole. The status may be garbled,
+  // so the outcome is not taken from such an answer; a wait that is heeded in vain does little harm.
   Millis incomplete_answer_wait() const {
     if (transmissions_.empty() || has_unwritten_bytes() || stream_.received().empty()) return 0;
     auto answer = parse_response(stream_.received(), max_body_bytes, true);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -1,7 +1,7 @@
 // Connection pool for HTTP/1.1 calls to endpoints, one call at a time on each connection. It carries out the
 // calls chosen by the decision module and reports the outcome of each transmission and of each preconnect. It
-// neither chooses an endpoint nor retries; before the first byte of each call is written, and before bytes that had
-// to wait for the socket, it asks whether the call may still be written.
+// neither chooses an endpoint nor retries; before the first byte of each call is written, and before bytes
+// that had to wait for the socket, it asks whether the call may still be written.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +23,7 @@
 struct OutboundTransmission {
   DocId doc{};
   int transmission = 0;
-  Millis deadline = 0;  // of its answer
+  Millis deadline = 0;                         // of its answer
   std::string_view id, idempotency_key, body;  // of the stored document; copied into the request
 };
 
--- a/src/trial/auditor.cpp
+++ b/src/trial/auditor.cpp
@@ -19,9 +19,13 @@
 constexpr Time never = 1e18;
 
 // Tolerances for delays of the test machine and of the harness's poll loop.
-constexpr Time answer_slack = 500;       // after a document's expiry
-constexpr Time delivery_slack = 150;     // from writing a call or an answer to reading it
-constexpr Time wait_slack = 60;          // a wait counts from when the relay reads the answer
+constexpr Time answer_slack = 500;    // after a document's expiry
+constexpr Time delivery_slack = 150;  // from writing a call or an answer to reading it
+constexpr Time wait_slack = 60;       // a wait counts from when the relay reads the answer
+// What the protocol allows of a relay's own waits, for any process that was held up.
+constexpr Time wait_crossing_time =
+    100;                             // calls that arrive so long after the answer was written are let through
+constexpr Time wait_tolerance = 50;  // before a wait's end
 constexpr Time answer_read_time = 250;   // until a running process has read an answer
 constexpr Time first_call_time = 500;    // from accepting a document to its first call, without other faults
 constexpr Time propagation_time = 1000;  // from one relay to another that is linked to it
@@ -45,7 +49,8 @@
 };
 
 struct Call {
-  Time started_at = 0, received_at = 0, answered_at = never, broken_at = never, wait = 0;
+  // The last byte arrived after quiet_until and by received_at.
+  Time started_at = 0, quiet_until = 0, received_at = 0, answered_at = never, broken_at = never, wait = 0;
   std::string relay, endpoint, dest, id, idempotency_key, key;
   long version = 0;
   int incarnation = 0, status = 0;
@@ -189,6 +194,7 @@
       documents_[id].notices.push_back({line.at, relay, line.field("status"), incarnation()});
     else if (kind == "call") {
       Call call;
+      call.quiet_until = line.number("quiet", line.at);
       call.started_at = line.number("began", line.at), call.received_at = line.at, call.relay = relay;
       call.endpoint = line.field("e"), call.dest = line.field("dest"), call.id = id,
       call.idempotency_key = line.field("mark");
@@ -674,12 +680,17 @@
     std::map<std::string, std::vector<ReceivedWait>> by_dest;
     for (const auto& [id, doc] : documents_)
       for (const auto& call : doc.calls)
-        if (call.wait > 0 && call.answered_at < never && answer_was_read(call))
+        if (call.wait > 0 && call.answered_at < never)
           by_dest[call.dest].push_back({&call, call.answered_at + call.wait});
     for (const auto& [id, doc] : documents_)
       for (const auto& call : doc.calls)
         for (const auto& wait : by_dest[call.dest]) {
           const Call& refused = *wait.call;
+          if (call.relay == refused.relay && call.incarnation == refused.incarnation) {
+            check_own_wait(call, id, refused, wait.until);
+            continue;
+          }
+          if (!answer_was_read(refused)) continue;
           if (call.started_at >= wait.until - wait_slack ||
               call.started_at <= refused.answered_at + delivery_slack)
             continue;
@@ -709,6 +720,17 @@
           }
         }
   }
+  // The protocol's rule: from 100 ms after an answer with a wait was written no call arrives before the
+  // wait's end, whatever held the relay up. Only a restart ends a wait.
+  void check_own_wait(const Call& call, const std::string& id, const Call& refused, Time until) {
+    if (call.quiet_until <= refused.answered_at + wait_crossing_time ||
+        call.received_at >= until - wait_tolerance)
+      return;
+    report("wait",
+           call.relay + " called destination " + call.dest + " " + ms(until - call.received_at) +
+               " ms before the end of its retry_after wait",
+           {refused.id, id}, refused.answered_at, call.received_at, call.dest);
+  }
   // No connection is opened to a destination during its retry_after wait, neither for a document nor in
   // advance.
   void check_opened_ahead() {
--- a/src/trial/event_loop.cpp
+++ b/src/trial/event_loop.cpp
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 namespace rockcrank::trial {
 namespace {
@@ -51,6 +52,7 @@
 Socket& EventLoop::add(int fd) {
   auto sock = std::make_unique<Socket>();
   sock->id = ++last_id_, sock->fd = fd;
+  sock->quiet_until = polled_before_;
   return *(sockets_[last_id_] = std::move(sock));
 }
 
@@ -165,8 +167,13 @@
     polled.push_back({sock->fd, wanted, 0}), ids.push_back(id);
   }
   auto wait = timers_.empty() ? max_wait : std::min(max_wait, timers_.begin()->first - now_);
+  update_clock();
+  polled_before_ = std::exchange(polled_from_, now_);
   poll(polled.data(), polled.size(), wait <= 0 ? 0 : static_cast<int>(wait) + 1);
   update_clock();
+  for (std::size_t i = 0; i < ids.size(); ++i)
+    if ((polled[i].revents & (POLLIN | POLLHUP | POLLERR)) == 0 && (polled[i].events & POLLIN))
+      sockets_.at(ids[i])->quiet_until = polled_from_;
   for (std::size_t i = 0; i < ids.size(); ++i)
     if (polled[i].revents != 0)
       if (Socket* sock = find(ids[i])) handle_events(*sock, polled[i].revents);
--- a/src/trial/event_loop.h
+++ b/src/trial/event_loop.h
@@ -30,6 +30,7 @@
   bool listening = false, connecting = false, paused = false;
   bool closes_when_sent = false;
   Millis first_byte_at = -1;  // when the first byte in `in` arrived
+  Millis quiet_until = 0;     // the socket surely held no unread byte at this time
   std::string in, out;
   std::function<void(Socket& accepted)> on_accepted;
   std::function<void()> on_connected, on_data, on_closed;
@@ -43,6 +44,7 @@
   EventLoop& operator=(const EventLoop&) = delete;
 
   Millis now() const { return now_; }  // monotonic time since construction, as of this iteration
+  void update_clock();
   Socket* find(std::uint64_t id);
   Socket* listen(const Address& address);   // throws std::runtime_error
   Socket* connect(const Address& address);  // a failure is reported later through on_closed
@@ -57,9 +59,9 @@
   void read(Socket& sock);
   void write(Socket& sock);
   void handle_closed(Socket& sock);
-  void update_clock();
 
   Millis started_at_ = 0, now_ = 0;
+  Millis polled_from_ = 0, polled_before_ = 0;  // when this iteration and the one before began to poll
   std::uint64_t last_id_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Socket>> sockets_;
   std::vector<std::unique_ptr<Socket>> closed_;
--- a/src/trial/harness.cpp
+++ b/src/trial/harness.cpp
@@ -319,6 +319,18 @@
   ::kill(relay.pid, SIGTERM);
 }
 
+void Harness::reload(const std::string& relay_name) {
+  Relay& relay = relays_.at(relay_name);
+  if (relay.pid <= 0) return;
+  write_files(relay);
+  record("reload", {{"r", relay_name}});
+  ::kill(relay.pid, SIGHUP);
+}
+
+void Harness::open_idle_clients(const std::string& relay_name, int count) {
+  for (int i = 0; i < count; ++i) event_loop_.connect({host_, relays_.at(relay_name).client_port});
+}
+
 void Harness::reap() {
   for (auto& [id, relay] : relays_) {
     int status = 0;
@@ -589,14 +601,16 @@
   } else {
     items.push_back({header(head, "Request-Id"), header(head, "Idempotency-Key"), body});
   }
-  char time[32];
+  char time[32], quiet[32];
   std::snprintf(time, sizeof time, "%.3f", started_at);
+  std::snprintf(quiet, sizeof quiet, "%.3f", sock.quiet_until);
   for (const auto& item : items)
     record("call", {{"e", endpoint.name},
                     {"dest", std::to_string(endpoint.dest)},
                     {"r", relay_name},
                     {"conn", std::to_string(sock.id)},
                     {"began", time},
+                    {"quiet", quiet},
                     {"id", item.id},
                     {"mark", item.idempotency_key},
                     {"key", body_field(item.body, "key")},
@@ -622,10 +636,13 @@
   }
   if (how.count("wait")) headers = "Retry-After: " + how["wait"] + "\r\n";
   const auto status = behaviour == "shut" ? std::string("503") : behaviour;
-  auto answer = http(status + " Said", headers, answer_body);
+  bool cut = how.count("cut") > 0;
+  auto answer = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
+  if (cut) answer.resize(answer.size() - 5);
   auto name = endpoint.name;
   auto wait = how.count("wait") ? std::stod(how["wait"]) * 1000 : 0;
   event_loop_.schedule(now() + number(how, "after", 0), [=, this] {
+    event_loop_.update_clock();  // a wait counts from the write
     Socket* open_socket = event_loop_.find(socket_id);
     for (const auto& item : items) {
       if (!open_socket) {
@@ -643,6 +660,7 @@
         found->second.ended = true;
     }
     if (open_socket) event_loop_.send(*open_socket, answer);
+    if (open_socket && cut) event_loop_.close(*open_socket);
   });
 }
 
--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -52,7 +52,8 @@
   Millis now() const { return event_loop_.now(); }
 
   // how: for=, hall=, rate= and kind= of a new endpoint; manner= a status, silent, reset, down or shut (503
-  // during an outage); after= ms, wait= s, times= N calls before it answers 200 again.
+  // during an outage); after= ms, wait= s, cut=1: closed before the body's end, times= N
+  // calls before it answers 200 again.
   void set_endpoint(const std::string& name, const Options& how);
   void set_listed_state(const std::string& name, const std::string& state);
   bool has_endpoint(const std::string& name) const { return endpoints_.count(name) > 0; }
@@ -66,6 +67,8 @@
   void suspend(const std::string& relay_name);
   void resume(const std::string& relay_name);
   void terminate(const std::string& relay_name);
+  void reload(const std::string& relay_name);  // rewrites its configuration, and SIGHUP
+  void open_idle_clients(const std::string& relay_name, int count);
   bool is_running(const std::string& relay_name) const { return relays_.at(relay_name).pid > 0; }
   bool is_suspended(const std::string& relay_name) const { return relays_.at(relay_name).suspended; }
   void empty_folder(const std::string& relay_name);    // the relay must not be running
--- a/src/trial/injected_violations.cpp
+++ b/src/trial/injected_violations.cpp
@@ -23,7 +23,7 @@
 
 void insert(Log& log, LogEntry entry, double at) {
   entry.at = at;
-  if (entry.kind == "call") entry.set("began", std::to_string(at));
+  if (entry.kind == "call") entry.set("began", std::to_string(at)), entry.set("quiet", std::to_string(at));
   auto position = std::upper_bound(log.begin(), log.end(), at,
                                    [](double when, const LogEntry& e) { return when < e.at; });
   log.insert(position, std::move(entry));
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -15,6 +15,7 @@
 #include "trial/injected_violations.h"
 #include "trial/random_trial.h"
 #include "trial/scene.h"
+#include "trial/wait_soak.h"
 
 namespace {
 
@@ -36,7 +37,8 @@
   auto add = options.add_options();
   add("seed", "random seed of the load and of all faults", cxxopts::value<unsigned long>());
   add("relays", "number of relays, 1 to 64", cxxopts::value<int>());
-  add("part", "fleet, documents, warm, latest or cold; default: all but cold", cxxopts::value<std::string>());
+  add("part", "fleet, documents, warm, latest, cold or waits; default: all but cold and waits",
+      cxxopts::value<std::string>());
   add("seconds", "duration of the load, 2 to 600", cxxopts::value<double>());
   add("scene", "file with a scripted trial, instead of a seed", cxxopts::value<std::string>());
   add("plant", "violation to inject into the log, to test the auditor", cxxopts::value<std::string>());
@@ -72,8 +74,9 @@
   if (arguments.relays < 1 || arguments.relays > 64) reject("--relays must be from 1 to 64");
   if (!(arguments.seconds >= 2 && arguments.seconds <= 600)) reject("--seconds must be from 2 to 600");
   if (!arguments.part.empty() && arguments.part != "fleet" && arguments.part != "documents" &&
-      arguments.part != "warm" && arguments.part != "latest" && arguments.part != "cold")
-    reject("--part must be fleet, documents, warm, latest or cold, not '" + arguments.part + "'");
+      arguments.part != "warm" && arguments.part != "latest" && arguments.part != "cold" &&
+      arguments.part != "waits")
+    reject("--part must be fleet, documents, warm, latest, cold or waits, not '" + arguments.part + "'");
   if (!arguments.violation.empty()) {
     auto names = violation_names();
     if (std::find(names.begin(), names.end(), arguments.violation) == names.end()) {
@@ -129,13 +132,16 @@
   setup.settings = default_settings();
   std::optional<Scene> scene;
   const bool cold = arguments.scene.empty() && arguments.part == "cold";
+  const bool waits = arguments.scene.empty() && arguments.part == "waits";
   if (cold) set_up_cold_returns(setup);
+  else if (waits) set_up_wait_soak(setup);
   else if (arguments.scene.empty()) set_up_random_trial(setup, arguments.part);
   else scene.emplace(arguments.scene), scene->set_up(setup);
   Harness harness(setup);
-  auto failed = scene  ? scene->play(harness)
-                : cold ? play_cold_returns(harness)
-                       : play_random_trial(harness, arguments.part, arguments.seconds);
+  auto failed = scene   ? scene->play(harness)
+                : cold  ? play_cold_returns(harness)
+                : waits ? play_wait_soak(harness, arguments.seconds)
+                        : play_random_trial(harness, arguments.part, arguments.seconds);
   if (!arguments.violation.empty() && failed.empty()) mutate_log(arguments.violation, harness.log());
   if (!arguments.log.empty()) std::ofstream(arguments.log) << format_log(harness.log());
   auto description = scene ? "scene " + arguments.scene
