Heed a wait as soon as its header has arrived, not when its answer is whole

The wait now binds from the read of its header (Decision::wait_told_early), for at most 10 s until the answer is whole, and the outcome no longer carries it.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -79,6 +79,7 @@
   void discovery_failed(bool refused, Millis duration) override;
   void accept(const Document& document) override;
   void outcome(const Outcome& outcome) override;
+  void wait_told_early(DocId doc, int transmission, Millis wait) override;
   void withdraw(DocId id) override;
   void set_offline(EndpointId id, bool offline) override;
   void pause_sending(bool paused) override { sending_paused_ = paused; }
@@ -104,7 +105,7 @@
  private:
   static constexpr Millis min_stall = 1000;         // a later turn than due by more is a stall of the relay
   static constexpr Millis max_limit_window = 2500;  // longest period of a rate limit
-  static constexpr Millis max_unconfirmed_wait = 10000;  // as told by an answer that was not received whole
+  static constexpr Millis max_unconfirmed_wait = 10000;  // as told by an answer that is not whole yet
   static constexpr Millis full_endpoint_hold = 5000;
   static constexpr Millis connection_cap_memory = 30000;
   static constexpr int min_connection_cap = 5;  // any endpoint accepts so many connections
@@ -150,10 +151,6 @@
 
   // Circuit breaker
   void record_failure(Call& call, bool refused, bool has_retry_after);
-  static Millis binding_wait(const Outcome& outcome) {
-    return outcome.answer_incomplete ? std::min(outcome.retry_after, max_unconfirmed_wait)
-                                     : outcome.retry_after;
-  }
   static bool limit_is_exhausted(const LoadHints& hints) {
     return hints.present && hints.rate_limit > 0 && hints.remaining_share < 0.1;
   }
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -144,7 +144,6 @@
   bool completed = false;  // the document has its final answer
   bool exhausted = false;  // no transmissions are left, whatever this relay has counted
   Millis retry_after = 0;
-  bool answer_incomplete = false;  // retry_after is from an answer that was cut short or garbled further on
   Millis duration = 0;
   Millis connection_idle_time = -1;  // before this call; 0: new connection; negative: unknown to the host
   bool connection_closed = false;    // by the endpoint, with its answer
@@ -248,6 +247,9 @@
   virtual DocTypeId type_id(const DocType& type) = 0;
   virtual void accept(const Document& document) = 0;
   virtual void outcome(const Outcome& outcome) = 0;
+  // A refusal with this Retry-After has begun to arrive; its rest, and with it the outcome, may come late or
+  // never.
+  virtual void wait_told_early(DocId doc, int transmission, Millis wait) = 0;
   // The document is no longer this relay's: another relay has it, or the end decided here is acknowledged.
   virtual void withdraw(DocId doc) = 0;
   // Taken out of service by an operator until it is put back, whatever discovery says. Back online it begins
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -22,10 +22,9 @@
     if (outcome_unknown) queue.settled_at = std::max(queue.settled_at, now_ + settings_.order_settle_time);
   }
   // A Retry-After binds every call of the route; each document of a batch may carry its own.
-  const Millis wait = binding_wait(outcome);
-  if (wait > 0)
+  if (outcome.retry_after > 0)
     call.route->publish_pending =
-        apply_retry_after(*call.route, now_ + wait, limit_is_exhausted(outcome.hints));
+        apply_retry_after(*call.route, now_ + outcome.retry_after, limit_is_exhausted(outcome.hints));
   Millis overdue_duration = overdue_after(*call.route);
   if ((timed_out || canceled) && outcome.duration > 1.1 * overdue_duration / call.route->timeout_factor)
     hung_calls_.add(now_, 1);
@@ -56,13 +55,22 @@
       Millis pause = backoff(++doc.failures);
       doc.not_before =
           now_ + (outcome.result == TransmissionResult::refused ? uniform(0, 2) * pause : jittered(pause));
-      if (wait > 0 && !choose_endpoint(doc, settings_.slots + 1)) doc.not_before += wait;
+      if (outcome.retry_after > 0 && !choose_endpoint(doc, settings_.slots + 1))
+        doc.not_before += outcome.retry_after;
       log_failed_transmission(doc, outcome, *call.route);
     }
   }
   if (call.document_count == 0) calls_.erase(call_number);
 }
 
+// The header may be garbled, so it must not stop a destination for long.
+void Decider::wait_told_early(DocId doc, int transmission, Millis wait) {
+  auto found = in_flight_.find({doc, transmission});
+  if (found == in_flight_.end() || wait <= 0) return;
+  Route& route = *calls_[std::get<0>(found->second)].route;
+  route.publish_pending = apply_retry_after(route, now_ + std::min(wait, max_unconfirmed_wait), false);
+}
+
 // Updates the health, latency and rate of a route from the first outcome of a call.
 void Decider::record_call_result(Call& call, const Outcome& outcome) {
   Route& route = *call.route;
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -139,6 +139,7 @@
   void start_call(const std::vector<OutboundTransmission>& transmissions) {
     started_at_ = owner_.loop_.now();
     connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
+    wait_reported_ = false;
     report_preconnect(PreconnectEvent::used);
     const Millis deadline = call_deadline(transmissions);
     for (const auto& sent : transmissions)
@@ -181,9 +182,7 @@
       result = TransmissionResult::not_connected;
     if (never_ran && (deferred_ || result == TransmissionResult::canceled))
       result = TransmissionResult::not_sent;
-    const Millis wait = incomplete_answer_wait();
-    answer_incomplete_ = wait > 0;
-    finish_all({result, false}, wait, {});
+    finish_all({result, false}, 0, {});
     owner_.discard(*this);
   }
 
@@ -284,13 +283,15 @@
     return transmissions_.empty();
   }
 
-  // The wait of a refusal of which at least the header's line has arrived whole. The status may be garbled,
-  // so the outcome is not taken from such an answer; a wait that is heeded in vain does little harm.
-  Millis incomplete_answer_wait() const {
-    if (transmissions_.empty() || has_unwritten_bytes() || stream_.received().empty()) return 0;
-    auto answer = parse_response(stream_.received(), max_body_bytes, true);
+  // The wait binds from when it was written, and the rest of its answer may come late or never. The outcome
+  // is not taken from an answer that is not whole, as its status may be garbled.
+  void report_wait_early(const HttpResponse& answer) {
     bool refused = answer.status == 429 || answer.status == 503;
-    return refused ? retry_after_of(answer) : 0;
+    if (!refused || wait_reported_) return;
+    const Millis wait = retry_after_of(answer);
+    if (wait <= 0) return;
+    wait_reported_ = true;
+    owner_.on_wait_told_early(transmissions_[0].doc, transmissions_[0].transmission, wait);
   }
 
   Millis retry_after_of(const HttpResponse& answer) const {
@@ -326,7 +327,6 @@
     outcome.duration = owner_.loop_.now() - started_at_;
     outcome.retry_after = wait, outcome.hints = hints, outcome.connection_idle_time = connection_idle_time_,
     outcome.connection_closed = connection_closed_;
-    outcome.answer_incomplete = answer_incomplete_;
     outcome.never_written = has_unwritten_bytes() && result.result == TransmissionResult::not_sent;
     owner_.in_flight_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
@@ -351,6 +351,7 @@
     // For a single document a 200 in the status line is final, whatever follows. So headers or a body that
     // never end don't delay the outcome.
     bool is_decided = !is_batch_ && answer.status == 200;
+    if (!complete && !draining_) report_wait_early(answer);
     if (partial && (!is_decided || draining_)) return;
     // Any other answer that cannot be read completely is ignored: its status line may be corrupt too.
     if (!complete && !is_decided) return abort(TransmissionResult::connection_lost);
@@ -397,7 +398,7 @@
   bool is_batch_ = false;
   bool deferred_ = false;           // connected, but told to begin later
   bool connection_closed_ = false;  // the answer closes the connection
-  bool answer_incomplete_ = false;  // the call ended without the rest of it
+  bool wait_reported_ = false;      // of this call, before its answer was whole
   bool draining_ = false;           // the outcome is reported, the rest of the answer is still awaited
   bool preconnected_ = false, was_connected_ = false;  // preconnected_: not used by a call yet
   Millis started_at_ = 0, idle_since_ = 0, connection_idle_time_ = 0;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -67,6 +67,8 @@
 
   std::function<void(const Outcome&)> on_outcome;
   std::function<void(DocId, int)> on_connecting;
+  // A refusal with this Retry-After has begun to arrive for the call of this transmission.
+  std::function<void(DocId, int, Millis)> on_wait_told_early = [](DocId, int, Millis) {};
   // Whether the call of this transmission may be written now. Asked with an up-to-date view: the owner calls
   // read_pending() first where its view is old.
   std::function<SendPermission(DocId, int)> may_write;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -80,6 +80,10 @@
       metrics_timer_(loop_, [this] { log_metrics(); }) {
   clients_.on_enqueue = [this](const EnqueueCommand& command, ReplyTo to) { enqueue(command, to); };
   endpoints_.on_outcome = [this](const Outcome& outcome) { on_outcome(outcome); };
+  endpoints_.on_wait_told_early = [this](DocId doc, int transmission, Millis wait) {
+    begin_turn();
+    decision_->wait_told_early(doc, transmission, wait);
+  };
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
     decision_->note_connecting(doc, transmission);
   };
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -799,6 +799,7 @@
   std::vector<std::pair<EndpointId, int>> queries;
   int turns = 0;
   void update_time(Millis) override {}
+  void wait_told_early(DocId, int, Millis) override {}
   bool may_preconnect(EndpointId endpoint, int up) override {
     queries.emplace_back(endpoint, up);
     return allowed_endpoints.count(endpoint) > 0;
