--- a/src/peer/shared_state.cpp
+++ b/src/peer/shared_state.cpp
@@ -68,7 +68,8 @@
     turn_timer_.set(relay_.loop.now());
   }
 
-  // Publishes what this relay learned in the turn that just ended, with ages corrected for the time since then.
+  // Publishes what this relay learned in the turn that just ended, with ages corrected for the time since
+  // then.
   void after_turn(const Actions&) override {
     auto statuses = relay_.decision.route_statuses(false);
     if (statuses.empty()) return;
