Count the age of the view from the beginning of poll, and ask for it at each write

Two causes of one kind: a poll(2) that a signal interrupts (SIGHUP while the process is stopped) has looked at nothing, and one that has returned may lie any time back, as a process is stopped mostly at the end of a system call; both were taken for a view of the present moment.

The view now counts from the beginning of the last poll that was not interrupted, and the stream asks for its age once more right before each send (Stream::may_write_now); bytes that may not go wait for the guard at the next round.

Preconnect.* and a WarmHost test gave their calls a time-out where a deadline is expected now: corrected, expectations unchanged.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -214,6 +214,7 @@
     };
     stream_.on_data = [this] { read(false); };
     stream_.on_close = [this] { read(true); };
+    stream_.may_write_now = [this] { return owner_.view_is_fresh(); };
     stream_.may_write_rest = [this] { return may_write_rest(); };
   }
 
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -73,6 +73,9 @@
   // read_pending() first where its view is old.
   std::function<SendPermission(DocId, int)> may_write;
   std::function<bool(DocId)> is_finished;  // the document has ended, whether or not its notice was sent
+  // Whether nothing can have arrived unread for long. Asked last, as this process may be stopped after
+  // may_write.
+  std::function<bool()> view_is_fresh = [] { return true; };
   // Called before a call's first byte is written, because from then on it may run. False: it may not be
   // written. It may take long, so may_write is asked after it.
   std::function<bool(EndpointId, const std::vector<InFlightTransmission>&)> before_write;
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -130,17 +130,20 @@
 void EventLoop::run() {
   running_ = true;
   while (running_) {
+    const Millis polled_from = now();
     int timeout = -1;
     if (!timers_.empty())
-      timeout = static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - now()), 0.0, 60000.0));
+      timeout =
+          static_cast<int>(std::clamp(std::ceil(timers_.begin()->first.first - polled_from), 0.0, 60000.0));
     int count = poll(pollfds_.data(), pollfds_.size(), timeout);
-    const Millis polled_at = now();
     std::size_t known = pollfds_.size();
     for (std::size_t i = 0; count > 0 && i < known && running_; ++i) {
       if (pollfds_[i].revents == 0 || !handlers_[i]) continue;
       handlers_[i]->ready(pollfds_[i].revents);
     }
-    inputs_read_at_ = polled_at;
+    // The beginning of poll(2) counts: a process is stopped mostly at the end of a system call, when it has
+    // looked already. One that a signal interrupts has not looked.
+    if (count >= 0) inputs_read_at_ = polled_from;
     run_due_timers();
     std::size_t kept = 0;
     for (std::size_t i = 0; i < pollfds_.size(); ++i) {
@@ -270,6 +273,10 @@
 bool Stream::flush() {
   std::size_t written = 0;
   while (written < output_.size()) {
+    if (may_write_now && !may_write_now()) {
+      output_.erase(0, written);
+      return true;
+    }
     auto count = ::send(fd_, output_.data() + written, output_.size() - written, MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR) continue;
     if (count <= 0) {
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -109,6 +109,8 @@
   std::function<void()> on_data;   // more bytes were received
   std::function<void()> on_drain;  // bytes that could not be written at once have been written
   std::function<void()> on_close;  // the connection failed or was closed by the peer; called once
+  // Asked right before each write to the socket; false: the bytes wait until the socket is ready again.
+  std::function<bool()> may_write_now;
   // Asked before bytes that could not be written at once are written after all; false: the owner has closed
   // this connection.
   std::function<bool()> may_write_rest;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -88,6 +88,7 @@
     decision_->note_connecting(doc, transmission);
   };
   endpoints_.may_write = [this](DocId doc, int transmission) { return may_write(doc, transmission); };
+  endpoints_.view_is_fresh = [this] { return view_age() <= max_view_age; };
   endpoints_.on_write_deferred = [this](const std::vector<Endpoints::InFlightTransmission>& calls) {
     if (fleet_) return;  // recorded when it was chosen
     for (const auto& call : calls) store_.record_never_ran(call.doc, call.transmission);
@@ -229,12 +230,13 @@
   return permission;
 }
 
+Millis Relay::view_age() const { return loop_.now() - std::max(loop_.inputs_read_at(), refreshed_at_); }
+
 void Relay::refresh_view() {
-  const Millis now = loop_.now();
-  const Millis age = now - std::max(loop_.inputs_read_at(), refreshed_at_);
+  const Millis age = view_age();
   view_ages_.add(age);
   if (age > max_view_age) {
-    refreshed_at_ = now;
+    refreshed_at_ = loop_.now();
     ++views_refreshed_;
     endpoints_.read_pending();
     watch_.read_pending();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -55,6 +55,7 @@
   void on_outcome(const Outcome& outcome);
   void apply_endpoint_list(const EndpointListUpdate& list);
   SendPermission may_write(DocId doc, int transmission);
+  Millis view_age() const;  // since all that had arrived was read
   void refresh_view();
   void on_timer(Millis late);
   void begin_turn();  // opens a turn if none is open, and gives the module the present time
--- a/tests/fleet/warm_test.cpp
+++ b/tests/fleet/warm_test.cpp
@@ -731,7 +731,7 @@
   EXPECT_EQ(server.endpoints.connections(EndpointId{1}), 1);
   server.run([&] { return server.events.size() == 1 && server.accepted.size() == 1; });
   EXPECT_EQ(server.events[0], PreconnectEvent::connected);
-  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, 300, "id", "", "body"}});
+  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, EventLoop::now() + 300, "id", "", "body"}});
   EXPECT_EQ(server.events.back(), PreconnectEvent::used);
   EXPECT_EQ(server.endpoints.connections(), 1U);  // no second one
   server.run([&] {
@@ -749,7 +749,7 @@
 TEST(Preconnect, ACallTakesAConnectingOne) {
   LoopbackServer server;
   ASSERT_TRUE(server.endpoints.preconnect(EndpointId{1}));
-  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, 300, "id", "", "body"}});
+  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, EventLoop::now() + 300, "id", "", "body"}});
   EXPECT_EQ(server.endpoints.connections(), 1U);
   ASSERT_EQ(server.events, std::vector{PreconnectEvent::used});
   server.run([&] {
@@ -784,7 +784,7 @@
   EXPECT_EQ(server.endpoints.connections(), 2U);
   // A document's call gets its connection nevertheless.
   server.endpoints.set_address(EndpointId{2}, {"127.0.0.1", server.port});
-  server.endpoints.call(EndpointId{2}, {{DocId{1}, 0, 300, "id", "", "body"}});
+  server.endpoints.call(EndpointId{2}, {{DocId{1}, 0, EventLoop::now() + 300, "id", "", "body"}});
   server.run([&] { return server.events.size() == 2; });
   EXPECT_EQ(std::count(server.events.begin(), server.events.end(), PreconnectEvent::failed),
             1);  // evicted while connecting
@@ -928,7 +928,7 @@
   EXPECT_GE(server.endpoints.connections(EndpointId{1}), 1);
   EXPECT_LE(server.endpoints.connections(EndpointId{1}), 4);  // a single list gets a quarter of the budget
   EXPECT_EQ(server.endpoints.connections(EndpointId{2}), 0);
-  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, 300, "id", "", "body"}});
+  server.endpoints.call(EndpointId{1}, {{DocId{1}, 0, EventLoop::now() + 300, "id", "", "body"}});
   EXPECT_NE(new_relay.part->summary().find("used 1, failed 0, unused 0"), std::string::npos);
   EXPECT_EQ(neighbour.part->summary(), "warm: opened 0, used 0, failed 0, unused 0");
   EXPECT_THROW(new_relay.part->on_message(MemberId(fnv1a_hash("a")), "rubbish"), fleet::BadMessage);
