Gossip a new record to distinct members, not in any messages

Cause: the copies of a record were counted by messages, so that an answer to a comparison and a gossip message to one member could use up both copies, and the member that nobody else reaches got none. Change: each copy goes to another member; gossip draws a member that lacks one. No more messages than before.

--- a/src/fleet/registers.cpp
+++ b/src/fleet/registers.cpp
@@ -34,9 +34,10 @@
 constexpr std::size_t max_message_bytes = 48 << 10;
 constexpr std::size_t max_forward_to = 8;
 
-// Gossip: each new urgent record is added to this many messages, whoever they are for. If none is sent, one
-// goes to a random member at this interval, as far as the rate limit allows.
-constexpr std::size_t gossip_repeats = 6;
+// Gossip: each new urgent record is added to messages for this many members, whatever those messages are for.
+// If none is sent, one goes to a random member that lacks a record at this interval, as far as the rate limit
+// allows.
+constexpr std::size_t gossip_copies = 6;
 constexpr Millis gossip_interval = 100, small_fleet_gossip_interval = 20;
 constexpr Millis max_gossip_age = 10e3;  // since the record was written
 
@@ -310,6 +311,12 @@
   MemberId member_at(std::uint64_t ring_distance) const {
     return MemberId{static_cast<std::uint64_t>(self_) + ring_distance};
   }
+  // A record that is still added to messages for other members. Each gets one copy: the links keep order, and
+  // a second copy to the same member would be missing where a member can be reached only through this one.
+  struct PendingGossip {
+    std::size_t copies_left = 0;
+    std::set<MemberId> sent_to;
+  };
   bool reaches(MemberId member) const { return peers_.count(member) && living_.count(member); }
   RegisterRecord with_current_age(const Entry& entry) const {
     RegisterRecord record = entry.record;
@@ -422,7 +429,7 @@
   void start_gossip(const RegisterRecord& record) {
     if (record.kind == RegisterKind::rate_limit) return;
     if (gossip_.empty()) gossip_at_ = now_ + next_gossip_delay();
-    gossip_[key_of(record)] = std::min(gossip_repeats, others_.size());
+    gossip_[key_of(record)] = {std::min(gossip_copies, others_.size()), {}};
   }
 
   RouteStatus report_of(const std::string& name) {
@@ -682,17 +689,34 @@
   bool gossip_due() { return !gossip_.empty() && now_ >= gossip_at_ && tokens_ >= gossip_tokens_needed(); }
   void gossip() {
     gossip_at_ = now_ + next_gossip_delay();
-    auto to = draw_peer(gossip_deck_);
+    auto to = draw_gossip_peer();
     if (to == self_) gossip_.clear();
     else send_all_for(to, false);
   }
-  void add_gossip(RegisterMessage& message, const std::set<EntryKey>& included) {
+  // A member that lacks the copy of a record; this one if none does.
+  MemberId draw_gossip_peer() {
+    for (std::size_t draws = 0; draws < 2 * reached_.size(); ++draws) {  // each member once at least
+      auto to = draw_peer(gossip_deck_);
+      if (lacks_gossip(to)) return to;
+    }
+    return self_;
+  }
+  bool lacks_gossip(MemberId member) const {
+    return std::ranges::any_of(gossip_, [&](const auto& one) { return !one.second.sent_to.count(member); });
+  }
+  void add_gossip(MemberId to, RegisterMessage& message, const std::set<EntryKey>& included) {
     for (auto at = gossip_.begin(); at != gossip_.end();) {
+      auto& [copies_left, sent_to] = at->second;
+      if (sent_to.count(to)) {
+        ++at;
+        continue;
+      }
       const Entry* entry = included.count(at->first) ? nullptr : table_.find(at->first);
       if (entry && !add_size(message, *entry)) break;
       if (entry) message.records.push_back(with_current_age(*entry));
-      if (at->second <= 1) at = gossip_.erase(at);
-      else --at->second, ++at;
+      sent_to.insert(to);
+      if (copies_left <= 1) at = gossip_.erase(at);
+      else --copies_left, ++at;
     }
   }
 
@@ -760,7 +784,7 @@
       }
       if (keys.empty()) forwards_.erase(found);
     }
-    add_gossip(message, included);
+    add_gossip(to, message, included);
     Peer& peer = peers_[to];
     if (now_ >= peer.sent_at + min_catch_up_gap || !with_broadcasts) add_catch_up(peer, message);
     send(to, std::move(message));
@@ -894,8 +918,8 @@
   std::map<MemberId, Peer> peers_;                   // linked
   PendingBroadcasts broadcasts_;                     // by entry
   std::map<MemberId, std::set<EntryKey>> forwards_;  // for members that the broadcaster cannot reach
-  std::map<EntryKey, std::size_t> gossip_;           // how often each is still gossiped
-  std::map<std::string, Millis> reported_ends_;      // of waits, as reported to the decision module
+  std::map<EntryKey, PendingGossip> gossip_;
+  std::map<std::string, Millis> reported_ends_;  // of waits, as reported to the decision module
   Millis cleanup_at_ = 0;
   std::set<std::string> changed_;  // names of routes to report to the decision module
   std::set<std::pair<EntryKey, Version>> named_conflicts_;
