Give the registers and the decision module one reading of the clock

Cause: since the loop's clock is read at each call, the host of the registers took a status at one moment and passed it on, or published it, by another; a stop between the two was added to a received wait, and the wait no longer looked like an echo. Change: each turn uses one reading for the registers and for the age in the decision module.

--- a/src/peer/shared_state.cpp
+++ b/src/peer/shared_state.cpp
@@ -73,8 +73,7 @@
   void after_turn(const Actions&) override {
     auto statuses = relay_.decision.route_statuses(false);
     if (statuses.empty()) return;
-    begin_turn();
-    Millis elapsed = relay_.loop.now() - relay_.decision_time();
+    const Millis elapsed = begin_turn() - relay_.decision_time();
     for (auto& status : statuses) {
       if (status.retry_after_left > 0) urgent_ = true, status.retry_after_left -= elapsed;
       urgent_ |= status.state != RouteState::healthy;
@@ -106,7 +105,12 @@
   }
 
  private:
-  void begin_turn() { registers_->begin_turn(relay_.loop.now()); }
+  // Returns the time that the registers have been given.
+  Millis begin_turn() {
+    const Millis now = relay_.loop.now();
+    registers_->begin_turn(now);
+    return now;
+  }
   void update_alive_members() { registers_->set_alive(context_.membership.alive()); }
 
   void restore(const StateFile::LoadedState& restored) {
@@ -117,7 +121,7 @@
   }
 
   void turn() {
-    begin_turn();
+    const Millis now = begin_turn();
     auto actions = registers_->decide();
     for (const auto& send : actions.sends) {
       auto bytes = packed(send.message);
@@ -131,19 +135,21 @@
           "check whether two processes run as one member; both records are kept and one is used");
       log_line("share: %s", error.what());
     }
-    if (!actions.route_statuses.empty()) apply(actions.route_statuses);
+    if (!actions.route_statuses.empty()) apply(actions.route_statuses, now);
     for (const auto& order : actions.offline_orders)
       pending_orders_.erase(order.endpoint), apply_offline_order(order.endpoint, order.offline);
     for (const auto& [endpoint, offline] : std::map(pending_orders_)) apply_offline_order(endpoint, offline);
-    if (actions.wake_in >= 0) turn_timer_.set(relay_.loop.now() + actions.wake_in);
+    if (actions.wake_in >= 0) turn_timer_.set(now + actions.wake_in);
     else turn_timer_.clear();
     schedule_write(!actions.route_statuses.empty() || !actions.offline_orders.empty());
   }
 
-  // The decision module measures from the time that it was given last.
-  void apply(std::vector<RouteStatus>& route_statuses) {
+  // Passes on statuses that are relative to `now`; the decision module measures from the time that it was
+  // given last. Both must yield the same end of a wait to the rounding error: the registers recognise by its
+  // end a wait that comes back from the module.
+  void apply(std::vector<RouteStatus>& route_statuses, Millis now) {
     relay_.begin_turn();
-    Millis elapsed = relay_.loop.now() - relay_.decision_time();
+    const Millis elapsed = now - relay_.decision_time();
     for (auto& status : route_statuses) {
       if (status.retry_after_left > 0) status.retry_after_left += elapsed;
       status.state_age = std::max(0.0, status.state_age - elapsed),
