Keep a replica's reply until its link to the owner is up

Cause: members dial each other independently, so a request can arrive before the link for its reply is up; the reply was dropped, and a document accepted in that moment was answered -BUSY 200 ms later.

--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "peer/codec.h"
+#include "peer/deferred_replies.h"
 #include "peer/fleet.h"
 #include "relay/log.h"
 
@@ -29,6 +30,19 @@
 constexpr std::size_t min_free_bytes = 64 * 1024;  // with less free space, other members take over first
 constexpr Millis min_log_interval = 1000;          // minimum between log lines
 
+// Requests are not among them: they are made again when the link comes up.
+bool is_reply(CustodyMessage::Kind kind) {
+  switch (kind) {
+    case CustodyMessage::Kind::configuration_accepted:
+    case CustodyMessage::Kind::lease_renewed:
+    case CustodyMessage::Kind::entries_acknowledged:
+    case CustodyMessage::Kind::request_ranges:
+    case CustodyMessage::Kind::vote:
+    case CustodyMessage::Kind::refused: return true;
+    default: return false;
+  }
+}
+
 const std::string incarnations_key = "custody lives", group_key_prefix = "custody group ";
 
 class CustodyComponent final : public FleetComponent {
@@ -37,7 +51,8 @@
       : context_(context),
         relay_(context.relay),
         store_(context.relay.store),
-        turn_timer_(context.relay.loop, [this] { turn(); }) {
+        turn_timer_(context.relay.loop, [this] { turn(); }),
+        deferred_replies_(context.config.replication_timeout) {
     const auto& config = context.config;
     custody_ = Custody::make(
         config.roster, config.self, context.incarnation,
@@ -68,12 +83,16 @@
 
   void on_message(MemberId from, std::string_view payload) override {
     auto message = unpacked<CustodyMessage>(payload);
+    requesters_[from] = message.sender.incarnation;
     begin_turn();
     custody_->on_message(from, message);
     schedule_turn();
   }
-  void on_link_change(MemberId peer, Incarnation, bool up) override {
-    begin_turn(), custody_->on_link_change(peer, up), schedule_turn();
+  void on_link_change(MemberId peer, Incarnation incarnation, bool up) override {
+    if (up) send_deferred_replies(peer, incarnation);
+    begin_turn();
+    custody_->on_link_change(peer, up);
+    schedule_turn();
   }
   void on_member_change(MemberId member, Incarnation incarnation, fleet::MemberState state) override {
     begin_turn();
@@ -144,6 +163,16 @@
   // Runs in the next loop iteration; records of this one are flushed by then.
   void schedule_turn() { turn_timer_.set(relay_.loop.now()); }
 
+  void send(MemberId to, const CustodyMessage& message) {
+    auto payload = packed(message);
+    if (context_.link.send(to, Channel::custody, payload) || !is_reply(message.kind)) return;
+    deferred_replies_.add(to, requesters_[to], EventLoop::monotonic_time(), std::move(payload));
+  }
+  void send_deferred_replies(MemberId to, Incarnation incarnation) {
+    for (const auto& payload : deferred_replies_.take(to, incarnation, EventLoop::monotonic_time()))
+      context_.link.send(to, Channel::custody, payload);
+  }
+
   template <typename Predicate>
   bool check_ownership(DocId doc, Predicate predicate) {
     register_document(doc);
@@ -212,8 +241,7 @@
     // Votes and changes of replicas must survive a restart before messages depend on them.
     if (!actions.states_to_persist.empty() || !resumed_docs.empty() || !flushed_) flushed_ = store_.flush();
     if (flushed_)
-      for (const auto& send : actions.sends)
-        context_.link.send(send.to, Channel::custody, packed(send.message));
+      for (const auto& outgoing : actions.sends) send(outgoing.to, outgoing.message);
     for_each(actions.accepted, [this](DocId doc) { relay_.answer_client(doc, true); });
     for_each(actions.not_accepted, [this](DocId doc) { relay_.answer_client(doc, false); });
     for_each(actions.relinquished, [this](DocId doc) {
@@ -287,6 +315,8 @@
   Store& store_;
   std::unique_ptr<Custody> custody_;
   Timer turn_timer_;
+  DeferredReplies deferred_replies_;
+  std::map<MemberId, Incarnation> requesters_;  // the incarnation of each member that sent the last message
   std::map<DocId, GlobalDocId> fleet_ids_;
   std::map<GlobalDocId, DocId> docs_by_fleet_id_;
   std::set<DocId> unreported_ends_;          // ended, and no replica has the end yet
