Judge each call of slow start by the rates of its own time

Change: the check sums what the rates allowed between the calls. For a constant rate it is the same check; for a rising one it is stricter.

--- a/src/decision/slow_start.cpp
+++ b/src/decision/slow_start.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace rockcrank {
 namespace {
@@ -50,9 +51,28 @@
 }
 
 bool SlowStartMonitor::record_call(Millis now, double rate, Millis overload_window) {
-  while (!sent_at_.empty() && sent_at_.front() < now - overload_window) sent_at_.pop_front();
-  sent_at_.push_back(now);
-  return static_cast<double>(sent_at_.size()) > rate * overload_window / 1000 + burst_calls;
+  const Millis window_start = now - overload_window;
+  while (!calls_.empty() && calls_.front().sent_at < window_start) remove_oldest();
+  add({now, std::min(rate, max_rate), 0});
+  const Call& oldest = calls_.front();
+  const double allowed_before_oldest = oldest.rate * (oldest.sent_at - window_start) / 1000;
+  return static_cast<double>(calls_.size()) > allowed_before_oldest + allowed_between_calls_ + burst_calls;
+}
+
+void SlowStartMonitor::add(Call call) {
+  if (!calls_.empty()) {
+    const Call& previous = calls_.back();
+    call.allowed_since_previous =
+        std::max(previous.rate, call.rate) * (call.sent_at - previous.sent_at) / 1000;
+    allowed_between_calls_ += call.allowed_since_previous;
+  }
+  calls_.push_back(call);
+}
+
+void SlowStartMonitor::remove_oldest() {
+  calls_.pop_front();
+  if (calls_.empty()) allowed_between_calls_ = 0;
+  else allowed_between_calls_ -= std::exchange(calls_.front().allowed_since_previous, 0);
 }
 
 }  // namespace rockcrank
--- a/src/decision/slow_start.h
+++ b/src/decision/slow_start.h
@@ -40,6 +40,7 @@
 };
 
 // Run-time check of slow start, independent of the code that decides: finds calls beyond this relay's part.
+// Each call counts by the rates allowed at its own time, as a refusal may lower the rate at any moment.
 class SlowStartMonitor {
  public:
   // Records a call to a destination in slow start, at the rate (calls per second) allowed now. Returns true
@@ -47,7 +48,17 @@
   bool record_call(Millis now, double rate, Millis overload_window);
 
  private:
-  std::deque<Millis> sent_at_;
+  static constexpr double max_rate = 1e6;  // keeps the sum exact enough
+  struct Call {
+    Millis sent_at = 0;
+    double rate = 0;
+    double allowed_since_previous = 0;  // calls
+  };
+  void add(Call call);
+  void remove_oldest();
+
+  std::deque<Call> calls_;  // within the window
+  double allowed_between_calls_ = 0;
 };
 
 }  // namespace rockcrank
