Report an outcome to the fleet's parts while its document is still in the store

Cause: Relay::on_outcome removed a completed document first; the streams forget a direct document when it is removed, so its delivery was never reported, and the next version to that subscriber waited until the first one's deadline (up to its whole lifetime). Change: the fleet's parts hear of the outcome first. Also: a document taken over gets its deadline and the ages of its transmissions by the same reading of the clock as the module's decision; a stop between the two made the deadline later (found by reading; the moment is too short for a test).

--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -159,7 +159,12 @@
  private:
   // Uses the current time, not the loop's, so that a process that was stopped notices that its lease has
   // expired.
-  void begin_turn() { custody_->begin_turn(EventLoop::monotonic_time()); }
+  // Returns the time that the module has been given, as Unix time.
+  Millis begin_turn() {
+    const Millis now = EventLoop::monotonic_time();
+    custody_->begin_turn(now);
+    return EventLoop::to_wall_time(now);
+  }
   // Runs in the next loop iteration; records of this one are flushed by then.
   void schedule_turn() { turn_timer_.set(relay_.loop.now()); }
 
@@ -222,7 +227,7 @@
   }
 
   void turn() {
-    begin_turn();
+    const Millis decided_at = begin_turn();
     auto actions = custody_->decide();
     for (const auto& persistent : actions.states_to_persist) {
       auto name = group_key_prefix + packed(persistent.group);
@@ -232,10 +237,10 @@
       if (auto found = docs_by_fleet_id_.find(from); found != docs_by_fleet_id_.end())
         assign_fleet_id(DocId(found->second), to);
     std::vector<DocId> resumed_docs;
-    for (const auto& state : actions.taken_over) resumed_docs.push_back(take_over(state));
+    for (const auto& state : actions.taken_over) resumed_docs.push_back(take_over(state, decided_at));
     for (const auto& state : actions.resumed)
       if (auto found = docs_by_fleet_id_.find(state.id); found != docs_by_fleet_id_.end()) {
-        record_in_doubt(found->second, state);
+        record_in_doubt(DocId(found->second), state, decided_at);
         resumed_docs.push_back(found->second);
       }
     // Votes and changes of replicas must survive a restart before messages depend on them.
@@ -269,9 +274,9 @@
         what(DocId(found->second));
   }
 
-  // Takes over a document of another relay. If the store has no space for it, this process and the replicas
-  // still hold it and owe its delivery.
-  DocId take_over(const DocumentState& state) {
+  // Takes over a document of another relay, in the state that it had at the time `decided_at`. If the store
+  // has no space for it, this process and the replicas still hold it and owe its delivery.
+  DocId take_over(const DocumentState& state, Millis decided_at) {
     if (auto found = docs_by_fleet_id_.find(state.id); found != docs_by_fleet_id_.end()) return found->second;
     StoredDocument document;
     try {
@@ -280,11 +285,11 @@
       log_line("documents: a replica cannot be read: %s", error.what());
       return {};
     }
-    auto wall = EventLoop::wall_time();
-    document.expiry = wall + state.time_left, document.transmissions = state.transmission_count;
+    document.expiry = decided_at + state.time_left;
+    document.transmissions = state.transmission_count;
     document.in_doubt.clear();
     for (const auto& entry : state.in_doubt)
-      document.in_doubt.push_back({entry.number, wall - entry.age, entry.zone});
+      document.in_doubt.push_back({entry.number, decided_at - entry.age, entry.zone});
     std::ranges::sort(document.in_doubt, {}, &StoredDocument::Transmission::sent_at);
     auto doc = store_.add(std::move(document));
     ignore_records_ = true;
@@ -292,14 +297,13 @@
     ignore_records_ = false;
     return doc;
   }
-  void record_in_doubt(DocId doc, const DocumentState& state) {
+  void record_in_doubt(DocId doc, const DocumentState& state, Millis decided_at) {
     const StoredDocument& document = store_.documents().at(doc);
-    auto wall = EventLoop::wall_time();
     ignore_records_ = true;
     for (const auto& entry : state.in_doubt)
       if (std::ranges::find(document.in_doubt, entry.number, &StoredDocument::Transmission::number) ==
           document.in_doubt.end())
-        store_.record_transmission(doc, entry.number, wall - entry.age, entry.zone);
+        store_.record_transmission(doc, entry.number, decided_at - entry.age, entry.zone);
     ignore_records_ = false;
   }
 
--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -96,11 +96,11 @@
 
 // The offset from the monotonic clock is read once per process: stepping the system clock later must not move
 // deadlines, windows and waits, which are spans of real time.
-Millis EventLoop::wall_time() {
+Millis EventLoop::to_wall_time(Millis monotonic) {
   static const Millis offset =
       std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count() -
       monotonic_time();
-  return monotonic_time() + offset;
+  return monotonic + offset;
 }
 
 Millis EventLoop::monotonic_time() {
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -29,7 +29,8 @@
   EventLoop();
   // Monotonic. Read anew at each call: an iteration may last long, and the process may be stopped in it.
   static Millis now() { return monotonic_time(); }
-  static Millis wall_time();  // Unix time, by the system clock as read at process start
+  static Millis wall_time() { return to_wall_time(monotonic_time()); }
+  static Millis to_wall_time(Millis monotonic);  // Unix time, by the system clock as read at process start
   static Millis monotonic_time();
   // All that had arrived at this time has been handed to the handlers.
   Millis inputs_read_at() const { return inputs_read_at_; }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -466,12 +466,12 @@
   bool never_ran = outcome.result == TransmissionResult::refused ||
                    outcome.result == TransmissionResult::not_connected ||
                    outcome.result == TransmissionResult::not_sent;
+  if (fleet_) fleet_->on_outcome(outcome);  // while the document is still in the store
   if (store_.documents().count(outcome.doc)) {
     if (outcome.completed) store_.remove(outcome.doc);
     else if (never_ran) store_.record_never_ran(outcome.doc, outcome.transmission);
   }
   decision_->outcome(outcome);
-  if (fleet_) fleet_->on_outcome(outcome);
 }
 
 void Relay::end_document(DocId doc, bool rejected, Millis wait) {
