Let the replica that has everything take over, where the other one has nothing yet

Callers saw: documents answered +OK without a final answer until their relay came back, if it was killed before its second replica had been brought up to date (also one that had just restarted). Cause: that replica denied its vote to the other one, as it had no log to compare; the denial is needed only while an older pair of replicas is in force. Change: the owner says with each proposal and renewal whether an older pair is in force; the candidate passes that on; the vote is granted in that very configuration and term, to a candidate that was up to date in it.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -124,10 +124,11 @@
   RelayInstance lease_granted_to;
   Millis lease_granted_until = -never, next_election_at = 0;
   std::uint64_t applied_index = 0;
-  bool in_sync = false;          // has everything of the owner's log up to applied_index
-  LogPosition log_position;      // compared in elections; no term: holds nothing that qualifies
-  bool dropped_expired = false;  // some documents were dropped because they had expired
-  bool yielded = false;          // without capacity, it has let the other replica start an election first
+  bool in_sync = false;             // has everything of the owner's log up to applied_index
+  LogPosition log_position;         // compared in elections; no term: holds nothing that qualifies
+  bool only_pair_in_force = false;  // its owner has no older configuration with two replicas in force
+  bool dropped_expired = false;     // some documents were dropped because they had expired
+  bool yielded = false;             // without capacity, it has let the other replica start an election first
 
   // State of a candidate.
   Version requested_term;
@@ -541,13 +542,17 @@
       if (!same_owner) group.in_sync = false;
       group.configurations = {configuration}, group.voted_term = configuration.term,
       group.is_candidate = false;
+      group.only_pair_in_force = false;
       if (same_owner && group.in_sync) group.log_position.term = configuration.term;
       if (!same_owner) group.highest_document = message.highest_document;
       if (!is_member) {
         become_inactive(group);
       } else group.role = Role::replica;
     }
-    if (is_member) grant_lease(group, configuration.owner);
+    if (is_member) {
+      grant_lease(group, configuration.owner);
+      group.only_pair_in_force |= message.yes;
+    }
     auto reply = make_message(MessageKind::configuration_accepted, group);
     reply.configuration.revision = configuration.revision, reply.number = message.number,
     reply.in_sync = group.in_sync, reply.position.index = group.applied_index;
@@ -556,6 +561,7 @@
   static void become_inactive(Group& group) {
     group.docs.clear(), group.bytes = 0;
     group.role = Role::inactive, group.log_position = {}, group.in_sync = group.is_candidate = false;
+    group.only_pair_in_force = false;
   }
   void grant_lease(Group& group, const RelayInstance& owner) {
     group.lease_granted_to = owner,
@@ -581,6 +587,7 @@
     Group* group = group_as_replica_of(message);
     if (!group) return;
     grant_lease(*group, message.sender);
+    group->only_pair_in_force |= message.yes;
     auto reply = make_message(MessageKind::lease_renewed, *group);
     reply.number = message.number, reply.yes = leaving_;
     send(message.sender.member, std::move(reply));
@@ -792,6 +799,14 @@
   }
 
   // Elections.
+  // Safety: whether the candidate certainly has everything, where this replica has no log to compare. In the
+  // only configuration in force an entry is committed once one of its two replicas has it, and that was never
+  // this one. The other was up to date in this term, so it has what came before, too.
+  static bool has_only_log(const Group& group, const CustodyMessage& message) {
+    const Configuration& known = group.configuration();
+    return message.yes && message.position.term == known.term && known.term == message.configuration.term &&
+           known.revision == message.configuration.revision;
+  }
   void on_request_vote(const CustodyMessage& message) {
     auto found = groups_.find(message.group);
     // The owner itself, in this incarnation or a later one.
@@ -852,7 +867,8 @@
         // Safety: no candidate is elected that lacks what this replica has.
         bool has_log = group.log_position.term.counter > 0;
         if (from_owner ? has_log && message.recovering && message.highest_document < group.highest_document
-                       : !has_log || message.position < group.log_position)
+            : has_log  ? message.position < group.log_position
+                       : !has_only_log(group, message))
           return deny();
       } else if (!from_owner) return deny();
     }
@@ -982,6 +998,7 @@
       message.configuration = configuration, message.term = group.requested_term, message.pre_vote = pre_vote,
       message.recovering = group.role == Role::recovering;
       message.number = group.configuration().revision;
+      message.yes = group.role == Role::replica && group.only_pair_in_force;
       message.position =
           group.role == Role::replica ? group.log_position : LogPosition{group.term(), group.last_index};
       for (const RelayInstance& instance : configuration.replicas)
@@ -1161,6 +1178,9 @@
     if (group.docs.count(number)) actions_.reportable_ends.push_back(id_of(group, number));
   }
 
+  static bool has_only_pair_in_force(const Group& group) {
+    return std::none_of(group.configurations.begin(), group.configurations.end() - 1, requires_lease);
+  }
   // Safety: an older configuration is no longer in force once one of its replicas has accepted the newest
   // one: with the owner that is a majority that elects nobody in the older one. But not before a replica of
   // the newest configuration has all committed entries.
@@ -1275,7 +1295,7 @@
       auto message = make_message(
           progress.configuration_accepted ? MessageKind::renew_lease : MessageKind::propose_configuration,
           group);
-      message.number = renewal;
+      message.number = renewal, message.yes = has_only_pair_in_force(group);
       if (!progress.configuration_accepted) message.configuration = group.configuration();
       send(instance.member, std::move(message));
     }
--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -140,16 +140,18 @@
 struct CustodyMessage {
   // What `number`, `yes` and `position` mean depends on the kind.
   enum class Kind : std::uint8_t {
-    propose_configuration,   // owner: announces the configuration; also renews the lease
+    propose_configuration,   // owner: announces the configuration; also renews the lease; yes: as renew_lease
     configuration_accepted,  // replica: confirms it, with its position in the log
-    renew_lease,             // owner: asks to extend the lease; number: of the renewal
+    renew_lease,             // owner: asks to extend the lease; number: of the renewal; yes: no older
+                             // configuration with two replicas is in force
     lease_renewed,           // replica; yes: it is shutting down and should be replaced
     append_entries,          // owner: log entries from index `number` on
     entries_acknowledged,    // replica: has everything up to index `number` if in_sync, otherwise not
     range_digests,           // owner: digests per range, as of log index `number`
     request_ranges,          // replica: these ranges differ; yes: acknowledges range_documents
     range_documents,         // owner: all documents of one range
-    request_vote,            // candidate: asks for a vote in `term`; pre_vote: asks whether it would get one
+    request_vote,            // candidate: asks for a vote in `term`; pre_vote: asks whether it would get one;
+                             // yes: a replica that was told the same by renew_lease
     vote,                    // granted or denied; a denial has the voter's configuration
     inventory,               // voter to a recovering owner: its documents; number: of all entries
     refused,                 // not its replica, or voted in a later term; has what is known here
