--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -15,11 +15,10 @@
 
 #include "trial/event_loop.h"
 #include "trial/log.h"
+#include "trial/messages.h"
 
 namespace rockcrank::trial {
 
-using Options = std::map<std::string, std::string>;
-
 struct Setup {
   std::string program;
   std::string fault_library;  // preloaded into each process, with faults drawn from the seed; empty: none
--- /dev/null
+++ b/src/trial/harness_endpoints.cpp
@@ -0,0 +1,164 @@
+// The simulated endpoints: their listeners, and how they answer calls.
+
+#include <algorithm>
+#include <cstdio>
+
+#include "settings/base64.h"
+#include "trial/harness.h"
+#include "trial/messages.h"
+
+namespace rockcrank::trial {
+
+void Harness::open_endpoint(Endpoint& endpoint) {
+  for (auto& [id, relay] : relays_) {
+    if (id[0] == 'x' || endpoint.listeners.count(id)) continue;
+    if (!endpoint.ports.count(id)) endpoint.ports[id] = next_port();
+    Socket* listener = event_loop_.listen({host_, endpoint.ports[id]});
+    endpoint.listeners[id] = listener->id;
+    listener->on_accepted = [this, name = endpoint.name, id = id](Socket& sock) {
+      connections_[name].insert(sock.id);
+      record("conn", {{"e", name},
+                      {"dest", std::to_string(endpoints_.at(name).dest)},
+                      {"r", id},
+                      {"conn", std::to_string(sock.id)}});
+      sock.on_data = [this, name, id, socket_id = sock.id] { handle_call_data(name, id, socket_id); };
+      sock.on_closed = [this, name, socket_id = sock.id] { connections_[name].erase(socket_id); };
+    };
+  }
+}
+void Harness::close_endpoint(Endpoint& endpoint) {
+  for (auto& [id, socket_id] : std::exchange(endpoint.listeners, {}))
+    if (Socket* sock = event_loop_.find(socket_id)) event_loop_.close(*sock);
+  for (auto socket_id : std::exchange(connections_[endpoint.name], {}))
+    if (Socket* sock = event_loop_.find(socket_id)) event_loop_.close(*sock, true);
+}
+
+void Harness::set_endpoint(const std::string& name, const Options& how) {
+  bool is_new = !endpoints_.count(name);
+  Endpoint& endpoint = endpoints_[name];
+  if (is_new) {
+    endpoint.name = name, endpoint.zone = option(how, "hall", "h0");
+    endpoint.dest = static_cast<int>(number(how, "for", 1)), endpoint.rate = number(how, "rate", 200);
+    endpoint.kind = option(how, "kind", "m0") == "m1";
+    record("endpoint", {{"e", name},
+                        {"dest", std::to_string(endpoint.dest)},
+                        {"hall", endpoint.zone},
+                        {"rate", option(how, "rate", "200")}});
+    ++revision_;
+  }
+  endpoint.how = how;
+  auto behaviour = endpoint.how["manner"] = option(how, "manner", "200");
+  endpoint.times = static_cast<int>(number(how, "times", -1));
+  bool failing = behaviour == "down" || behaviour == "silent" || behaviour == "reset" || behaviour == "500" ||
+                 behaviour == "shut";
+  if (behaviour == "down") {
+    close_endpoint(endpoint);
+    if (is_new) open_endpoint(endpoint), close_endpoint(endpoint);  // reserves its ports
+  } else {
+    open_endpoint(endpoint);
+  }
+  if (failing != endpoint.failing) record(failing ? "fails" : "works", {{"e", name}, {"how", behaviour}});
+  else if (!is_new) record("manner", {{"e", name}, {"how", behaviour}});
+  endpoint.failing = failing;
+  if (is_new) set_listed_state(name, option(how, "state", "Ready"));
+}
+
+void Harness::set_listed_state(const std::string& name, const std::string& state) {
+  endpoints_.at(name).state = state;
+  ++revision_;
+  record("list", {{"e", name}, {"state", state}});
+  for (auto& [id, relay] : relays_)
+    for (auto socket_id : std::set<std::uint64_t>(polling_agents_[id])) send_list(relay, socket_id);
+}
+
+void Harness::handle_call_data(const std::string& name, const std::string& relay_name,
+                               std::uint64_t socket_id) {
+  std::string head, body;
+  while (Socket* sock = event_loop_.find(socket_id)) {
+    auto started_at = sock->first_byte_at;
+    if (!take_request(sock->in, head, body)) return;
+    sock->first_byte_at = event_loop_.now();
+    handle_call(endpoints_.at(name), relay_name, *sock, head, body, started_at);
+  }
+}
+
+void Harness::handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock,
+                          const std::string& head, const std::string& body, Millis started_at) {
+  struct CalledDocument {
+    std::string id, idempotency_key, body;
+  };
+  std::vector<CalledDocument> items;
+  bool batch = head.rfind("POST /v1/messages:batch ", 0) == 0;
+  if (batch) {
+    auto list = Json::parse(body, nullptr, false);
+    for (const auto& item : list.is_array() ? list : Json::array())
+      items.push_back({item.value("id", ""), item.value("key", ""), base64_decode(item.value("body", ""))});
+  } else {
+    items.push_back({header(head, "Request-Id"), header(head, "Idempotency-Key"), body});
+  }
+  char time[32], quiet[32];
+  std::snprintf(time, sizeof time, "%.3f", started_at);
+  std::snprintf(quiet, sizeof quiet, "%.3f", sock.quiet_until);
+  for (const auto& item : items)
+    record("call", {{"e", endpoint.name},
+                    {"dest", std::to_string(endpoint.dest)},
+                    {"r", relay_name},
+                    {"conn", std::to_string(sock.id)},
+                    {"began", time},
+                    {"quiet", quiet},
+                    {"id", item.id},
+                    {"mark", item.idempotency_key},
+                    {"key", body_field(item.body, "key")},
+                    {"v", body_field(item.body, "v")},
+                    {"items", std::to_string(items.size())}});
+  auto how = endpoint.how;
+  if (endpoint.times == 0) how = {{"manner", "200"}, {"after", option(how, "after", "0")}};
+  if (endpoint.times > 0) --endpoint.times;
+  const auto behaviour = how["manner"];
+  if (behaviour == "silent") return;
+  auto socket_id = sock.id;
+  if (behaviour == "reset") {
+    for (const auto& item : items)
+      record("broke", {{"e", endpoint.name}, {"r", relay_name}, {"id", item.id}});
+    connections_[endpoint.name].erase(socket_id);
+    return event_loop_.close(sock, true);
+  }
+  std::string answer_body, headers;
+  if (batch && behaviour == "200") {
+    auto states = Json::array();
+    for (const auto& item : items) states.push_back({{"id", item.id}, {"state", "ok"}});
+    answer_body = states.dump();
+  }
+  if (how.count("wait")) headers = "Retry-After: " + how["wait"] + "\r\n";
+  const auto status = behaviour == "shut" ? std::string("503") : behaviour;
+  bool cut = how.count("cut") > 0;
+  auto answer = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
+  if (cut) answer.resize(answer.size() - 5);
+  auto name = endpoint.name;
+  auto wait = how.count("wait") ? std::stod(how["wait"]) * 1000 : 0;
+  event_loop_.schedule(now() + number(how, "after", 0), [=, this] {
+    event_loop_.update_clock();  // a wait counts from the write
+    Socket* open_socket = event_loop_.find(socket_id);
+    for (const auto& item : items) {
+      if (!open_socket) {
+        record("broke", {{"e", name}, {"r", relay_name}, {"id", item.id}});  // the caller has disconnected
+        continue;
+      }
+      std::vector<std::pair<std::string, std::string>> fields{
+          {"e", name},       {"dest", std::to_string(endpoints_.at(name).dest)},
+          {"r", relay_name}, {"conn", std::to_string(socket_id)},
+          {"id", item.id},   {"status", status}};
+      if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
+      record("answer", std::move(fields));
+      if (auto found = documents_.find(item.id);
+          found != documents_.end() && (behaviour == "200" || behaviour == "410"))
+        found->second.ended = true;
+    }
+    if (open_socket) event_loop_.send(*open_socket, answer);
+    if (open_socket && cut) event_loop_.close(*open_socket);
+  });
+}
+
+// ---- links
+
+}  // namespace rockcrank::trial
--- a/src/trial/scene.cpp
+++ b/src/trial/scene.cpp
@@ -13,11 +13,6 @@
 // Time to wait for a condition; longer than any takeover takes with all cores busy.
 constexpr Millis default_timeout = 8000;
 
-double number(const Options& options, const std::string& name, double fallback) {
-  auto found = options.find(name);
-  return found == options.end() ? fallback : std::stod(found->second);
-}
-
 // Returns the fields that log entries must match: all options except those of the wait itself.
 Options condition_fields(Options options) {
   for (const char* wait_option : {"within", "least", "for_ms", "most"}) options.erase(wait_option);
