--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -147,7 +147,7 @@
   Millis duration = 0;
   Millis connection_idle_time = -1;  // before this call; 0: new connection; negative: unknown to the host
   bool connection_closed = false;    // by the endpoint, with its answer
-  bool never_written = false;        // the host did not begin the call
+  bool never_written = false;        // the endpoint cannot have the whole request
   LoadHints hints;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -497,9 +497,7 @@
 
 void Relay::end_turn() {
   begin_turn();
-  if (fleet_) fleet_->before_turn(), end_deferred(), send_deferred();
-  if (gossip_socket_) gossip_socket_->before_turn();
-  endpoints_.resume_deferred();
+  resume_deferred();
   auto actions = decision_->decide();
   turn_open_ = false;
   last_turn_at_ = loop_.now();
@@ -507,11 +505,35 @@
   if (fleet_) fleet_->after_turn(actions);
   if (gossip_socket_) gossip_socket_->after_turn();
   for (const auto& line : actions.log) log_line("%s", line.c_str());
+  end_documents(actions);
+  // The store is written before replies and calls, so that a restart knows of both.
+  record(actions);
+  bool flushed = store_.flush();
+  if (!flushed) actions.transmissions = filter_sendable_unrecorded(actions.transmissions);
+  answer_new_documents(flushed);
+  apply_to_endpoints(actions);
+  if (actions.long_poll_wait > 0) watch_.start(actions.long_poll_wait, actions.discovery_timeout);
+  schedule_next_turn(actions.wake_in);
+}
+
+void Relay::resume_deferred() {
+  if (fleet_) {
+    fleet_->before_turn();
+    end_deferred();
+    send_deferred();
+  }
+  if (gossip_socket_) gossip_socket_->before_turn();
+  endpoints_.resume_deferred();
+}
+
+void Relay::end_documents(const Actions& actions) {
   for (const auto& reject : actions.rejected) end_document(reject.doc, true, reject.retry_after);
   for (DocId doc : actions.abandoned) end_document(doc, false, 0);
-  // The store is written before replies and calls, so that a restart knows of both.
+}
+
+void Relay::record(const Actions& actions) {
   for (const auto& one : new_documents_) store_.record_accepted(one.doc);
-  auto wall = EventLoop::wall_time();
+  const Millis wall = EventLoop::wall_time();
   for (const auto& sent : actions.transmissions) {
     auto found = store_.documents().find(sent.doc);
     if (found == store_.documents().end()) continue;
@@ -522,23 +544,27 @@
     if (!fleet_) store_.record_never_ran(sent.doc, transmission);
   }
   if (route_state_store_) route_state_store_->save();
-  bool flushed = store_.flush();
-  if (!flushed) actions.transmissions = filter_sendable_unrecorded(actions.transmissions);
-  answer_new_documents(flushed);
+}
+
+void Relay::apply_to_endpoints(const Actions& actions) {
   for (const auto& one : actions.closed_connections) endpoints_.close_idle(one.endpoint, one.min_idle_time);
   endpoints_.max_idle_time = actions.max_idle_time;
   if (fleet_) send_or_defer(actions.transmissions);
   else send(actions.transmissions);
   for (const auto& call : actions.canceled) endpoints_.cancel(call.doc, call.transmission);
-  for (EndpointId endpoint : actions.forgotten_endpoints)
-    endpoints_.remove(endpoint), known_endpoints_.erase(endpoint);
-  if (actions.long_poll_wait > 0) watch_.start(actions.long_poll_wait, actions.discovery_timeout);
-  if (!turn_open_ && (actions.wake_in >= 0 || !unsent_outcomes_.empty())) {
-    auto wake = unsent_outcomes_.empty() ? actions.wake_in : 0.0;
-    turn_timer_.set(loop_.now() + std::max(wake, config_.settings.tick));
+  for (EndpointId endpoint : actions.forgotten_endpoints) {
+    endpoints_.remove(endpoint);
+    known_endpoints_.erase(endpoint);
   }
 }
 
+void Relay::schedule_next_turn(Millis wake_in) {
+  const bool has_outcomes = !unsent_outcomes_.empty();
+  if (turn_open_ || (wake_in < 0 && !has_outcomes)) return;
+  const Millis wake = has_outcomes ? 0 : wake_in;
+  turn_timer_.set(loop_.now() + std::max(wake, config_.settings.tick));
+}
+
 // Records the transmissions as possibly run only now, right before the request is written. A call that was
 // still waiting for its connection or its turn when the process was killed never ran, and is retried after
 // the restart.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -60,6 +60,12 @@
   void on_timer(Millis late);
   void begin_turn();  // opens a turn if none is open, and gives the module the present time
   void end_turn();    // asks the module, writes the store, replies to clients, sends
+  // The steps of end_turn(), in this order.
+  void resume_deferred();
+  void end_documents(const Actions& actions);
+  void record(const Actions& actions);
+  void apply_to_endpoints(const Actions& actions);
+  void schedule_next_turn(Millis wake_in);
   bool record_in_doubt(EndpointId endpoint, const std::vector<Endpoints::InFlightTransmission>& calls);
   void report_not_sent(const Transmit& sent, int transmission);
   std::vector<Transmit> filter_sendable_unrecorded(const std::vector<Transmit>& transmissions);
