Tell an end only once it is recorded

Callers saw: after a kill with a full or slow folder, a document whose end had been told was sent again, or got a second, different end. Cause: the notice was sent before the store was written. Change: ends are told after the write. Where it fails, a rejection is held while more than 0.5 s of the document's time are left, and tried every 0.1 s; abandoned documents have no time left and are told at once.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -24,6 +24,9 @@
 // read and dropped.
 constexpr Millis final_reply_time = 300;
 constexpr Millis metrics_interval = 10000;
+constexpr Millis never = 1e18;
+// An end that cannot be recorded is told this long before its document's time is over, and tried this often.
+constexpr Millis unrecorded_end_margin = 500, unrecorded_end_interval = 100;
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
@@ -492,7 +495,21 @@
   // A copy must have recorded the end first, otherwise a relay that takes over could announce a different
   // one.
   if (fleet_ && !fleet_->may_report_end(doc)) return;
-  reports_.report(doc, store_.documents().at(doc).id, rejected, wait);
+  unreported_ends_[doc] = {rejected, wait};
+}
+
+// An end is told once it is recorded: a process that is killed in between would else send the document again,
+// or tell another end. Where the store cannot be written, a rejection waits as long as its document's time
+// allows.
+void Relay::report_ends(bool flushed) {
+  const Millis wall = EventLoop::wall_time();
+  for (const auto& [doc, end] : std::exchange(unreported_ends_, {})) {
+    auto found = store_.documents().find(doc);
+    if (found == store_.documents().end()) continue;
+    if (!flushed && end.rejected && wall < found->second.expiry - unrecorded_end_margin)
+      unreported_ends_[doc] = end;
+    else reports_.report(doc, found->second.id, end.rejected, end.wait);
+  }
 }
 
 void Relay::end_turn() {
@@ -511,6 +528,7 @@
   bool flushed = store_.flush();
   if (!flushed) actions.transmissions = filter_sendable_unrecorded(actions.transmissions);
   answer_new_documents(flushed);
+  report_ends(flushed);
   apply_to_endpoints(actions);
   if (actions.long_poll_wait > 0) watch_.start(actions.long_poll_wait, actions.discovery_timeout);
   schedule_next_turn(actions.wake_in);
@@ -559,10 +577,11 @@
 }
 
 void Relay::schedule_next_turn(Millis wake_in) {
-  const bool has_outcomes = !unsent_outcomes_.empty();
-  if (turn_open_ || (wake_in < 0 && !has_outcomes)) return;
-  const Millis wake = has_outcomes ? 0 : wake_in;
-  turn_timer_.set(loop_.now() + std::max(wake, config_.settings.tick));
+  if (turn_open_) return;
+  Millis wake = wake_in >= 0 ? wake_in : never;
+  if (!unsent_outcomes_.empty()) wake = 0;
+  if (!unreported_ends_.empty()) wake = std::min(wake, unrecorded_end_interval);
+  if (wake < never) turn_timer_.set(loop_.now() + std::max(wake, config_.settings.tick));
 }
 
 // Records the transmissions as possibly run only now, right before the request is written. A call that was
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -64,6 +64,7 @@
   void resume_deferred();
   void end_documents(const Actions& actions);
   void record(const Actions& actions);
+  void report_ends(bool flushed);
   void apply_to_endpoints(const Actions& actions);
   void schedule_next_turn(Millis wake_in);
   bool record_in_doubt(EndpointId endpoint, const std::vector<Endpoints::InFlightTransmission>& calls);
@@ -115,6 +116,7 @@
   };
   std::map<DocId, ReplyTo> pending_replies_;
   std::map<DocId, DeferredEnd> deferred_ends_;
+  std::map<DocId, DeferredEnd> unreported_ends_;  // to be told once they are recorded
   struct DeferredTransmission {
     Transmit sent;
     int transmission = 0;
