--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -375,7 +375,7 @@
 // A reset within a request: its last byte is not written yet, so none of its documents has run.
 TEST_F(SlowReader, ResetWithinARequest) {
   // More than the socket buffers hold even when the system grows them.
-  call({{1, 1000}, {2, 1000}, {3, 1000}}, std::string(8 << 20, 'x'));
+  call({{1, 30000}, {2, 30000}, {3, 30000}}, std::string(8 << 20, 'x'));
   run_until([&] { return server_.has_unread_bytes(0); });
   server_.reset(0);
   run_until([&] { return !outcomes_.empty(); });
