--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -151,7 +151,7 @@
     request_ranges,          // replica: these ranges differ; yes: acknowledges range_documents
     range_documents,         // owner: all documents of one range
     request_vote,            // candidate: asks for a vote in `term`; pre_vote: asks whether it would get one;
-                             // yes: a replica that was told the same by renew_lease
+                             // yes: its owner has told it so, as in renew_lease
     vote,                    // granted or denied; a denial has the voter's configuration
     inventory,               // voter to a recovering owner: its documents; number: of all entries
     refused,                 // not its replica, or voted in a later term; has what is known here
--- a/src/fleet/registers.cpp
+++ b/src/fleet/registers.cpp
@@ -311,8 +311,8 @@
   MemberId member_at(std::uint64_t ring_distance) const {
     return MemberId{static_cast<std::uint64_t>(self_) + ring_distance};
   }
-  // A record that is still added to messages for other members. Each gets one copy: the links keep order, and
-  // a second copy to the same member would be missing where a member can be reached only through this one.
+  // A record that is still added to messages for other members. Each member gets one copy: a second copy to
+  // the same member would leave none for another one, which perhaps only this member reaches.
   struct PendingGossip {
     std::size_t copies_left = 0;
     std::set<MemberId> sent_to;
