Keep all configurations of documents in force when their owner is elected

Cause: become_owner replaced all configurations in force by the newest one. A vote does not retire a configuration: the members of the older one had not accepted the newer one, and elected a second owner there.

Fix: an elected owner keeps all configurations, in its new term. It needs a lease and an acknowledgement in each, until the rule that retires older ones (a replica of theirs has accepted the newest) fires. So whoever may still be elected in an older one has granted no lease to it.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -1044,18 +1044,13 @@
   void become_owner(Group& group) {
     if (group.is_pre_vote) return start_election(group, false);
     bool was_recovering = group.role == Role::recovering, was_replica = group.role == Role::replica;
-    Configuration previous = group.configuration(), next;
-    next.term = group.requested_term, next.owner = self_;
-    for (const RelayInstance& instance : previous.replicas)
-      if (instance.member != self_.member) {
-        auto voter = group.voters.find(instance.member);
-        next.replicas.push_back(
-            voter == group.voters.end() || !includes(previous, instance.member) ? instance : voter->second);
-      }
-    // Safety: the same three members, so that the majorities of this election and the next intersect. The old
-    // owner becomes a replica.
-    if (previous.owner.member != self_.member) next.replicas.push_back(previous.owner);
-    group.is_candidate = false, group.is_pre_vote = false, group.configurations = {next},
+    MemberId previous_owner = group.configuration().owner.member;
+    // Safety: all configurations stay in force. A vote is no acceptance of a newer configuration: the members
+    // of an older one may still elect another owner there.
+    std::uint64_t revision = 0;
+    for (Configuration& configuration : group.configurations)
+      configuration = in_new_term(group, configuration, revision++);
+    group.is_candidate = false, group.is_pre_vote = false;
     group.next_heartbeat_at = now_, group.last_lease_at = now_;
     group.next_election_at = now_ + settings_.lease_duration;
     if (was_recovering) apply_inventories(group);
@@ -1063,7 +1058,7 @@
       group.last_index = group.log_position.index, group.log.clear(), group.taken_over = true,
       group.is_active = false;
       ++statistics_.takeovers;
-      log_event("taking over", group, previous.owner.member, group.docs.size());
+      log_event("taking over", group, previous_owner, group.docs.size());
     }
     if (was_recovering || was_replica) {
       group.progress.clear(), group.role = Role::owner, group.is_active = false;
@@ -1073,10 +1068,29 @@
         for (Transmission& transmission : doc.in_doubt) transmission.log_index = 0;
       }
     }
-    std::erase_if(group.progress, [&](const auto& at) { return !includes(next, at.first); });
+    std::erase_if(group.progress, [&](const auto& at) {
+      return std::ranges::none_of(group.configurations, [&](const Configuration& configuration) {
+        return includes(configuration, at.first);
+      });
+    });
     for (auto& [instance, progress] : group.progress) progress.configuration_accepted = false;
     persist(group);
   }
+  // The same three members in the term in which this relay was elected. A previous owner becomes a replica,
+  // and a voter that restarted takes part with its new incarnation.
+  Configuration in_new_term(const Group& group, const Configuration& previous, std::uint64_t revision) const {
+    Configuration next;
+    next.term = group.requested_term;
+    next.revision = revision;
+    next.owner = self_;
+    for (const RelayInstance& instance : previous.replicas) {
+      if (instance.member == self_.member) continue;
+      auto voter = group.voters.find(instance.member);
+      next.replicas.push_back(voter == group.voters.end() ? instance : voter->second);
+    }
+    if (previous.owner.member != self_.member) next.replicas.push_back(previous.owner);
+    return next;
+  }
   // Adds what the replicas know and an older state directory does not: in-doubt transmissions, and removed
   // documents.
   void apply_inventories(Group& group) {
