Count a restarted relay's vote only with the other replica's answer

Cause: a restarted voter speaks for its former incarnation from its state directory. An older directory that was put back knew nothing of its vote for the successor, and its word alone brought the former owner back.

Fix: such a vote counts once the other replica has answered as well, by a vote or by saying that its directory does not know the incarnation that is asked. A successor is elected by both replicas, so one of them knows. No time-out and no membership is part of it.

Two tests hold before and after: all members restart, and with one emptied directory.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -136,6 +136,8 @@
   Millis votes_requested_at = 0, recovery_started_at = 0;
   std::set<std::pair<std::uint64_t, MemberId>> votes;  // revision of the configuration voted in, voter
   std::map<MemberId, RelayInstance> voters;
+  // Their state directories do not know the incarnation that is in the configuration.
+  std::set<MemberId> forgetful_members;
   std::map<MemberId, std::pair<std::size_t, std::size_t>> inventories;  // entries received and expected
   // From the inventories.
   std::map<std::uint64_t, std::vector<DocumentState::InDoubtTransmission>> reported_in_doubt;
@@ -832,10 +834,12 @@
       return deny();
     // Safety: a restarted replica has lost its documents, but its state directory has its vote. With its vote
     // only the owner may continue, which has all documents. A state directory that did not see that
-    // incarnation proves nothing.
-    if (!same_incarnation &&
-        !(from_owner && own_instance.is_valid() && past_incarnations_.count(own_instance.incarnation) > 0))
-      return deny();
+    // incarnation proves nothing, and the owner is told so.
+    if (!same_incarnation) {
+      bool remembers = past_incarnations_.count(own_instance.incarnation) > 0;
+      denial.recovering = from_owner && own_instance.is_valid() && !remembers;
+      if (!from_owner || !own_instance.is_valid() || !remembers) return deny();
+    }
     // Safety: it does not know to whom that incarnation granted a lease either, so it waits until any has
     // expired.
     if (!same_incarnation && now_ < started_ + settings_.lease_duration * (1 + settings_.max_clock_drift))
@@ -913,6 +917,7 @@
     Group& group = found->second;
     if (!message.yes) {
       group.highest_seen_term = std::max(group.highest_seen_term, message.term);
+      if (message.recovering) group.forgetful_members.insert(message.sender.member);
       if (!message.configuration.owner.is_valid()) return;
       // Safety: it knows fewer of its own revisions than another member does. Its state directory is older
       // and it must not continue.
@@ -986,6 +991,7 @@
       if (group.role == Role::recovering && !group.is_candidate) group.recovery_started_at = now_;
       auto highest_term = std::max({group.voted_term, group.term(), group.highest_seen_term});
       group.requested_term = {highest_term.counter + 1, self_.member};
+      group.forgetful_members.clear();
       group.votes.clear(), group.voters.clear(), group.inventories.clear(), group.reported_in_doubt.clear(),
           group.reported_documents.clear();
       if (!pre_vote) group.voted_term = group.requested_term, persist(group);
@@ -1015,17 +1021,29 @@
           send(other, message);
         }
   }
-  // Safety: a majority of three in each configuration in force, which is this relay and one other member.
+  // Safety: a majority of three, which is this relay and one other member. The word of a voter that restarted
+  // rests on its state directory, which may be older than its last vote. A successor was elected by both
+  // replicas, so the owner asks both: one of the two knows, as long as not both directories are wrong.
+  static bool has_majority(const Group& group, const Configuration& configuration) {
+    bool voted = false, both_answered = true;
+    for (const RelayInstance& replica : configuration.replicas) {
+      if (group.votes.count({configuration.revision, replica.member}) == 0) {
+        both_answered = both_answered && group.forgetful_members.count(replica.member) > 0;
+        continue;
+      }
+      if (group.voters.at(replica.member) == replica) return true;
+      voted = true;
+    }
+    return voted && both_answered;
+  }
+  // Safety: a majority in each configuration in force.
   bool is_elected(Group& group) {
     if (!group.is_candidate || group.role == Role::inactive ||
         (!group.is_pre_vote && group.voted_term != group.requested_term))
       return false;
     if (group.role == Role::replica && !requires_lease(group.configuration())) return false;
     for (const Configuration& configuration : group.configurations)
-      if (requires_lease(configuration) && std::ranges::none_of(group.votes, [&](const auto& vote) {
-            return vote.first == configuration.revision && includes(configuration, vote.second);
-          }))
-        return false;
+      if (requires_lease(configuration) && !has_majority(group, configuration)) return false;
     if (group.role != Role::recovering) return true;
     if (group.has_stale_state) return false;
     for (const auto& [member, inventory] : group.inventories)
--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -152,7 +152,8 @@
     range_documents,         // owner: all documents of one range
     request_vote,            // candidate: asks for a vote in `term`; pre_vote: asks whether it would get one;
                              // yes: its owner has told it so, as in renew_lease
-    vote,                    // granted or denied; a denial has the voter's configuration
+    vote,                    // granted or denied; a denial has the voter's configuration; recovering: the
+                             // voter's state directory does not know the incarnation that is asked
     inventory,               // voter to a recovering owner: its documents; number: of all entries
     refused,                 // not its replica, or voted in a later term; has what is known here
   };
--- a/tests/fleet/custody_election_test.cpp
+++ b/tests/fleet/custody_election_test.cpp
@@ -56,5 +56,76 @@
   EXPECT_EQ(owners(document).size(), 1u);
 }
 
+class CustodyRestartedVoterTest : public CustodyMembersTest {
+ protected:
+  CustodyRestartedVoterTest() : CustodyMembersTest(3) {}
+  // Stops the owner until a replica has taken over and reported the document's end; returns that replica.
+  MemberId take_over_and_end(const GlobalDocId& document) {
+    stop(owner);
+    drops = [](const Envelope& envelope) { return envelope.to == owner; };  // its connections have ended
+    for (MemberId replica : {first_replica, second_replica}) tell_state(replica, owner, MemberState::dead);
+    EXPECT_TRUE(run_until([&] { return !owners(document).empty(); }, 10 * lease_duration));
+    MemberId successor = owners(document).front();
+    run_for(lease_duration);  // until the stopped owner is no replica any more
+    Host& host = hosts_.at(successor);
+    host.custody->begin_turn(now_);
+    host.custody->record_ended(document, "abandoned");
+    EXPECT_TRUE(run_until([&] { return host.custody->may_report_end(document); }, lease_duration));
+    host.custody->remove(document);
+    run_for(lease_duration);
+    return successor;
+  }
+  static MemberId other_than(MemberId replica) {
+    return replica == first_replica ? second_replica : first_replica;
+  }
+};
+
+// Guards against a second end: a restarted voter whose state directory is older than its vote for the
+// successor.
+TEST_F(CustodyRestartedVoterTest, OlderStateDirectoryOfASuccessorIsNoVote) {
+  GlobalDocId document = accept_document();
+  run_for(lease_duration);
+  std::map<MemberId, StateDirectory> older;
+  for (const auto& [id, host] : hosts_) older[id] = host.directory;
+  MemberId successor = take_over_and_end(document), witness = other_than(successor);
+  kill(successor);
+  restart(successor, older.at(successor));
+  run_for(2 * lease_duration);
+  // The one other member that knows of the takeover is stopped while the former owner goes on.
+  stop(witness);
+  drops = nullptr;
+  resume(owner);
+  for (Millis end = now_ + 5 * lease_duration; now_ < end; now_ += step) {
+    deliver_all();
+    ASSERT_FALSE(owns(owner, document)) << "the document has been ended by its successor";
+  }
+  resume(witness);
+  run_for(5 * lease_duration);
+  EXPECT_FALSE(owns(owner, document));
+}
+
+// Guards against documents without an end: all members restart at once, and each finds its state directory.
+TEST_F(CustodyRestartedVoterTest, OwnerGoesOnWhenAllMembersRestart) {
+  GlobalDocId document = accept_document();
+  run_for(lease_duration);
+  auto before = std::exchange(hosts_, {});
+  for (auto& [id, host] : before) hosts_[id].incarnation = host.incarnation;
+  for (const auto& [id, host] : before) restart(id, host.directory);
+  EXPECT_TRUE(run_until([&] { return owns(owner, document); }, 10 * lease_duration));
+}
+
+// Guards against documents without an end: of all members that restart at once one finds an empty directory.
+TEST_F(CustodyRestartedVoterTest, OwnerGoesOnWhenAllMembersRestartAndOneDirectoryIsEmptied) {
+  for (MemberId emptied : {first_replica, second_replica}) {
+    GlobalDocId document = accept_document(static_cast<std::uint64_t>(emptied));
+    run_for(10 * lease_duration);
+    ASSERT_TRUE(owns(owner, document));
+    auto before = std::exchange(hosts_, {});
+    for (auto& [id, host] : before) hosts_[id].incarnation = host.incarnation;
+    for (const auto& [id, host] : before) restart(id, id == emptied ? StateDirectory{} : host.directory);
+    EXPECT_TRUE(run_until([&] { return owns(owner, document); }, 10 * lease_duration));
+  }
+}
+
 }  // namespace
 }  // namespace rockcrank::fleet
