Keep a granted lease when its replica votes for the same owner again

What callers saw: none yet; two relays could own the same documents for up to a lease. Found by going through the argument of fleet-documents.md.

Cause: on_request_vote set lease_granted_until back on each vote. An owner that has a lease and asks for votes, because a replica voted in a later term, goes on counting on that lease, but its voter no longer did, and voted for the other replica at once.

Fix: a vote leaves the granted lease as it is. A vote for anybody else is given only after its end, so nothing else changes.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -881,8 +881,10 @@
     approval.highest_document = group.highest_document;
     if (message.pre_vote) return send(message.sender.member, approval);
     if (!repeated) {
-      group.voted_term = group.requested_term = message.term, group.is_candidate = false,
-      group.lease_granted_to = message.sender, group.lease_granted_until = -never;
+      group.voted_term = group.requested_term = message.term;
+      group.is_candidate = false;
+      // Safety: a lease that it granted to this owner stays granted: the owner still counts on it.
+      group.lease_granted_to = message.sender;
       group.next_election_at =
           now_ + settings_.lease_duration * (1 + settings_.max_clock_drift) * random_between(1, 1.5);
       if (group.configurations.empty())
--- a/tests/fleet/custody_election_test.cpp
+++ b/tests/fleet/custody_election_test.cpp
@@ -56,6 +56,34 @@
   EXPECT_EQ(owners(document).size(), 1u);
 }
 
+// Guards against two owners: the lease that a replica has granted ends when it votes for the owner anew.
+TEST_F(CustodyJointElectionTest, VoteForTheOwnerKeepsTheLeaseThatItHas) {
+  drops = [&](const Envelope& envelope) { return is_cut(envelope); };
+  GlobalDocId document = accept_document();
+  run_for(lease_duration);
+  cut(owner, second_replica);
+  run_for(2 * lease_duration);
+  ASSERT_EQ(owners(document), std::vector{owner});
+  // The owner, which has a lease from its first replica, hears that its second one has voted in a later term.
+  CustodyMessage refusal;
+  refusal.kind = Kind::refused;
+  refusal.group = document.group();
+  refusal.sender = {second_replica, hosts_.at(second_replica).incarnation};
+  refusal.term = {5, second_replica};
+  hosts_.at(owner).custody->on_message(second_replica, refusal);
+  bool voted = false;
+  drops = [&](const Envelope& envelope) {
+    bool from_owner = envelope.from == owner && envelope.to == first_replica;
+    voted = voted || (envelope.from == first_replica && envelope.to == owner &&
+                      envelope.message.kind == Kind::vote && envelope.message.yes);
+    return is_cut(envelope) || (voted && from_owner);
+  };
+  ASSERT_TRUE(run_until([&] { return voted; }, 2 * lease_duration));
+  // The second replica asks for the first one's vote: turn() expects at most one owner at any time.
+  run_for(5 * lease_duration);
+  EXPECT_EQ(owners(document), std::vector{second_replica});
+}
+
 class CustodyRestartedVoterTest : public CustodyMembersTest {
  protected:
   CustodyRestartedVoterTest() : CustodyMembersTest(3) {}
