Retire a configuration only once the newer one has all that was committed

What callers saw: none yet; a document whose end had been told could be taken over by a replica without that end, and be sent or ended again. Found by going through the argument of fleet-documents.md.

Cause: can_retire_configurations compared the newest configuration's index with committed_index, which is the least of all configurations in force, the newest among them. So it always held. The committed index also falls when such a configuration begins.

Evidence: CustodyJointElectionTest.ConfigurationStaysUntilTheNewOneHasWhat- WasCommitted, a few messages; failed before this change ("taken_over_ Which is: 1, 0u").

Fix: the owner keeps the highest index that was ever committed; a new owner takes all that it finds for committed, and appends an entry of its own, so that a replica that has everything differs from one that has nothing yet.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -110,6 +110,7 @@
   // State of an owner.
   std::deque<LogEntry> log;  // the last entry has index last_index
   std::uint64_t last_index = 0, renewal_count = 0;
+  std::uint64_t highest_committed_index = 0;  // what a new owner finds counts as committed
   std::map<RelayInstance, Progress> progress;
   // is_active: the host was told that it may act for the documents; taken_over: it has yet to be told that
   // they came from another owner.
@@ -486,6 +487,12 @@
       if (requires_lease(configuration)) all = std::min(all, match_index(group, configuration));
     return all;
   }
+  // The committed index falls when a configuration begins whose replicas have nothing yet; what was committed
+  // remains so.
+  void record_committed_index(Group& group) {
+    auto committed = std::min(committed_index(group), group.last_index);
+    group.highest_committed_index = std::max(group.highest_committed_index, committed);
+  }
   // Nothing is sent before the document is accepted, so a document whose client was told to retry was
   // certainly never sent.
   bool is_safe_to_send(const Group& group, const Doc& doc, int transmission) const {
@@ -688,7 +695,11 @@
     Group& group = found->second;
     auto at = group.progress.find(message.sender);
     if (at == group.progress.end()) return;
-    Progress& progress = at->second;
+    record_committed_index(group);
+    apply_replica_reply(group, at->second, message);
+    record_committed_index(group);
+  }
+  void apply_replica_reply(Group& group, Progress& progress, const CustodyMessage& message) {
     if (message.kind == MessageKind::configuration_accepted || message.kind == MessageKind::lease_renewed) {
       if (auto sent = progress.pending_renewals.find(message.number);
           sent != progress.pending_renewals.end()) {
@@ -1065,6 +1076,7 @@
     if (group.is_pre_vote) return start_election(group, false);
     bool was_recovering = group.role == Role::recovering, was_replica = group.role == Role::replica;
     MemberId previous_owner = group.configuration().owner.member;
+    record_committed_index(group);
     // Safety: all configurations stay in force. A vote is no acceptance of a newer configuration: the members
     // of an older one may still elect another owner there.
     std::uint64_t revision = 0;
@@ -1087,6 +1099,9 @@
         doc.document_index = doc.end_index = 0;
         for (Transmission& transmission : doc.in_doubt) transmission.log_index = 0;
       }
+      // Its index tells a replica that has everything from one that has nothing yet.
+      append(group, {EntryKind::no_op, 0, {}});
+      group.highest_committed_index = group.last_index;
     }
     std::erase_if(group.progress, [&](const auto& at) {
       return std::ranges::none_of(group.configurations, [&](const Configuration& configuration) {
@@ -1217,7 +1232,7 @@
   }
   // Safety: an older configuration is no longer in force once one of its replicas has accepted the newest
   // one: with the owner that is a majority that elects nobody in the older one. But not before a replica of
-  // the newest configuration has all committed entries.
+  // the newest configuration has all entries that were ever committed.
   bool can_retire_configurations(Group& group) {
     if (group.role != Role::owner || group.configurations.size() < 2) return false;
     for (std::size_t i = 0; i + 1 < group.configurations.size(); ++i)
@@ -1228,11 +1243,11 @@
           }))
         return false;
     Configuration newest = group.configurations.back();
-    return !requires_lease(newest) ||
-           match_index(group, newest) >= std::min(committed_index(group), group.last_index);
+    return !requires_lease(newest) || match_index(group, newest) >= group.highest_committed_index;
   }
   void retire_configurations(Group& group) {
     group.configurations.erase(group.configurations.begin(), group.configurations.end() - 1);
+    record_committed_index(group);
     std::erase_if(group.progress, [&](const auto& at) { return !includes(group.configuration(), at.first); });
     persist(group);
   }
@@ -1294,6 +1309,7 @@
     return next_replicas(group) != group.configuration().replicas;
   }
   void reconfigure(Group& group) {
+    record_committed_index(group);
     Configuration next = group.configuration();
     ++next.revision, next.replicas = next_replicas(group);
     group.configurations.push_back(next), group.next_heartbeat_at = now_;
--- a/tests/fleet/custody_election_test.cpp
+++ b/tests/fleet/custody_election_test.cpp
@@ -84,6 +84,31 @@
   EXPECT_EQ(owners(document), std::vector{second_replica});
 }
 
+// Guards against a second end: a replica that lacks a reported end takes over, as the one that had it was
+// dropped too early.
+TEST_F(CustodyJointElectionTest, ConfigurationStaysUntilTheNewOneHasWhatWasCommitted) {
+  bool cut_off = false;
+  drops = [&](const Envelope& envelope) {
+    bool has_documents = envelope.message.kind == Kind::append_entries ||
+                         envelope.message.kind == Kind::range_digests ||
+                         envelope.message.kind == Kind::range_documents;
+    return cut_off && envelope.to != second_replica && has_documents;
+  };
+  GlobalDocId document = accept_document();
+  run_for(lease_duration);
+  // An end that only the second replica has.
+  cut_off = true;
+  Host& host = hosts_.at(owner);
+  host.custody->record_ended(document, "abandoned");
+  ASSERT_TRUE(run_until([&] { return host.custody->may_report_end(document); }, lease_duration));
+  // It is replaced, and says that it has heard; the replicas that are left have no such end.
+  tell_state(owner, second_replica, MemberState::dead);
+  run_for(lease_duration);
+  kill(owner);
+  run_for(6 * lease_duration);
+  EXPECT_EQ(taken_over_, 0u);
+}
+
 class CustodyRestartedVoterTest : public CustodyMembersTest {
  protected:
   CustodyRestartedVoterTest() : CustodyMembersTest(3) {}
