Elect a replica only in a configuration that is the only one in force

What callers saw: none yet; two relays could own the same documents for as long as links were cut.

Cause: while an owner exchanges a replica two configurations are in force, and each could elect a replica by itself. They have a member in common, but it may vote in the older one and then, in a later term, in the newer one: the two new owners get their leases from different members.

Fix: the owner's word that no older configuration is in force, which its replicas had already for another rule, is needed to stand for election and to be voted for. It is about the configuration that it names, ends with a newer one or another owner, and is told at once after the older ones are retired. By then a member of each has refused to go back, so nobody is elected there.

--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -125,11 +125,11 @@
   RelayInstance lease_granted_to;
   Millis lease_granted_until = -never, next_election_at = 0;
   std::uint64_t applied_index = 0;
-  bool in_sync = false;             // has everything of the owner's log up to applied_index
-  LogPosition log_position;         // compared in elections; no term: holds nothing that qualifies
-  bool only_pair_in_force = false;  // its owner has no older configuration with two replicas in force
-  bool dropped_expired = false;     // some documents were dropped because they had expired
-  bool yielded = false;             // without capacity, it has let the other replica start an election first
+  bool in_sync = false;          // has everything of the owner's log up to applied_index
+  LogPosition log_position;      // compared in elections; no term: holds nothing that qualifies
+  bool only_in_force = false;    // its owner has said that this configuration is the only one in force
+  bool dropped_expired = false;  // some documents were dropped because they had expired
+  bool yielded = false;          // without capacity, it has let the other replica start an election first
 
   // State of a candidate.
   Version requested_term;
@@ -551,7 +551,7 @@
       if (!same_owner) group.in_sync = false;
       group.configurations = {configuration}, group.voted_term = configuration.term,
       group.is_candidate = false;
-      group.only_pair_in_force = false;
+      group.only_in_force = false;
       if (same_owner && group.in_sync) group.log_position.term = configuration.term;
       if (!same_owner) group.highest_document = message.highest_document;
       if (!is_member) {
@@ -560,7 +560,7 @@
     }
     if (is_member) {
       grant_lease(group, configuration.owner);
-      group.only_pair_in_force |= message.yes;
+      group.only_in_force |= message.yes;
     }
     auto reply = make_message(MessageKind::configuration_accepted, group);
     reply.configuration.revision = configuration.revision, reply.number = message.number,
@@ -570,7 +570,7 @@
   static void become_inactive(Group& group) {
     group.docs.clear(), group.bytes = 0;
     group.role = Role::inactive, group.log_position = {}, group.in_sync = group.is_candidate = false;
-    group.only_pair_in_force = false;
+    group.only_in_force = false;
   }
   void grant_lease(Group& group, const RelayInstance& owner) {
     group.lease_granted_to = owner,
@@ -596,7 +596,8 @@
     Group* group = group_as_replica_of(message);
     if (!group) return;
     grant_lease(*group, message.sender);
-    group->only_pair_in_force |= message.yes;
+    bool is_current = message.configuration.revision == group->configuration().revision;
+    group->only_in_force |= message.yes && is_current;
     auto reply = make_message(MessageKind::lease_renewed, *group);
     reply.number = message.number, reply.yes = leaving_;
     send(message.sender.member, std::move(reply));
@@ -757,7 +758,7 @@
       step_down(group, configuration, highest_document);
     if (!includes(configuration, self_)) become_inactive(group);
     else group.role = Role::replica;
-    group.in_sync = group.is_candidate = false;
+    group.in_sync = group.is_candidate = group.only_in_force = false;
     group.configurations = {configuration}, group.voted_term = std::max(group.voted_term, configuration.term),
     group.highest_document = highest_document;
     group.next_election_at = now_ + settings_.lease_duration * (1 + settings_.max_clock_drift);
@@ -817,7 +818,7 @@
   // this one. The other was up to date in this term, so it has what came before, too.
   static bool has_only_log(const Group& group, const CustodyMessage& message) {
     const Configuration& known = group.configuration();
-    return message.yes && message.position.term == known.term && known.term == message.configuration.term &&
+    return message.position.term == known.term && known.term == message.configuration.term &&
            known.revision == message.configuration.revision;
   }
   void on_request_vote(const CustodyMessage& message) {
@@ -867,6 +868,8 @@
           group.voted_term.origin != message.sender.member)
         return deny();
       if (group.role == Role::owner || group.role == Role::recovering) return deny();
+      // Safety: while an older configuration is in force, its members may elect another owner.
+      if (!from_owner && !message.yes) return deny();
       if (!group.configurations.empty()) {
         const Configuration& known = group.configuration();
         if (known.term > message.configuration.term) return deny();
@@ -981,7 +984,7 @@
               (!has_lease(group) && now_ >= group.last_lease_at + settings_.lease_duration));
     return group.role == Role::replica && requires_lease(group.configuration()) &&
            now_ >= group.next_election_at && now_ >= group.lease_granted_until &&
-           group.log_position.term.counter > 0;
+           group.log_position.term.counter > 0 && group.only_in_force;
   }
   void request_votes(Group& group) {
     bool is_owner = group.role != Role::replica;
@@ -1017,7 +1020,7 @@
       message.configuration = configuration, message.term = group.requested_term, message.pre_vote = pre_vote,
       message.recovering = group.role == Role::recovering;
       message.number = group.configuration().revision;
-      message.yes = group.role == Role::replica && group.only_pair_in_force;
+      message.yes = group.role == Role::replica && group.only_in_force;
       message.position =
           group.role == Role::replica ? group.log_position : LogPosition{group.term(), group.last_index};
       for (const RelayInstance& instance : configuration.replicas)
@@ -1227,9 +1230,6 @@
     if (group.docs.count(number)) actions_.reportable_ends.push_back(id_of(group, number));
   }
 
-  static bool has_only_pair_in_force(const Group& group) {
-    return std::none_of(group.configurations.begin(), group.configurations.end() - 1, requires_lease);
-  }
   // Safety: an older configuration is no longer in force once one of its replicas has accepted the newest
   // one: with the owner that is a majority that elects nobody in the older one. But not before a replica of
   // the newest configuration has all entries that were ever committed.
@@ -1248,6 +1248,7 @@
   void retire_configurations(Group& group) {
     group.configurations.erase(group.configurations.begin(), group.configurations.end() - 1);
     record_committed_index(group);
+    group.next_heartbeat_at = now_;  // its replicas may elect a successor once they have heard of it
     std::erase_if(group.progress, [&](const auto& at) { return !includes(group.configuration(), at.first); });
     persist(group);
   }
@@ -1345,7 +1346,8 @@
       auto message = make_message(
           progress.configuration_accepted ? MessageKind::renew_lease : MessageKind::propose_configuration,
           group);
-      message.number = renewal, message.yes = has_only_pair_in_force(group);
+      message.number = renewal, message.yes = group.configurations.size() == 1;
+      message.configuration.revision = group.configuration().revision;
       if (!progress.configuration_accepted) message.configuration = group.configuration();
       send(instance.member, std::move(message));
     }
@@ -1510,7 +1512,7 @@
         wake(group.last_lease_at + new_group_after_leases * settings_.lease_duration);
       }
       if (group.role == Role::replica && requires_lease(group.configuration()) &&
-          group.log_position.term.counter > 0 && !group.is_candidate)
+          group.log_position.term.counter > 0 && group.only_in_force && !group.is_candidate)
         wake(std::max(group.next_election_at, group.lease_granted_until));
       if (group.role == Role::recovering)
         wake(group.recovery_started_at + recovery_timeout_leases * settings_.lease_duration);
--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -142,8 +142,8 @@
   enum class Kind : std::uint8_t {
     propose_configuration,   // owner: announces the configuration; also renews the lease; yes: as renew_lease
     configuration_accepted,  // replica: confirms it, with its position in the log
-    renew_lease,             // owner: asks to extend the lease; number: of the renewal; yes: no older
-                             // configuration with two replicas is in force
+    renew_lease,             // owner: asks to extend the lease; number: of the renewal; yes: the
+                             // configuration of this revision is the only one in force
     lease_renewed,           // replica; yes: it is shutting down and should be replaced
     append_entries,          // owner: log entries from index `number` on
     entries_acknowledged,    // replica: has everything up to index `number` if in_sync, otherwise not
--- a/tests/fleet/custody_election_test.cpp
+++ b/tests/fleet/custody_election_test.cpp
@@ -84,6 +84,44 @@
   EXPECT_EQ(owners(document), std::vector{second_replica});
 }
 
+// Guards against two owners: one elected in an older, one in a newer configuration, of which both are in
+// force.
+TEST_F(CustodyJointElectionTest, NewerConfigurationElectsNobodyWhileAnOlderOneIsInForce) {
+  drops = [&](const Envelope& envelope) { return is_cut(envelope); };
+  GlobalDocId document = accept_document();
+  run_for(lease_duration);
+  // The owner replaces its second replica; only the new one hears of it.
+  cut(owner, first_replica);
+  cut(owner, second_replica);
+  cut(new_replica, first_replica);
+  cut(new_replica, second_replica);
+  tell_state(owner, second_replica, MemberState::dead);
+  run_for(lease_duration / 2);
+  stop(owner);
+  // The older configuration elects one of its replicas, whose voter hears nothing more of it.
+  MemberId successor{}, voter{};
+  drops = [&](const Envelope& envelope) {
+    if (envelope.message.kind == Kind::vote && envelope.message.yes && !envelope.message.pre_vote)
+      successor = envelope.to, voter = envelope.from;
+    bool to_voter = envelope.from == successor && envelope.to == voter;
+    return is_cut(envelope) || to_voter || envelope.to == owner;
+  };
+  ASSERT_TRUE(run_until([&] { return successor != MemberId{}; }, 5 * lease_duration));
+  ASSERT_NE(successor, new_replica);
+  run_for(lease_duration);
+  // The former owner becomes its replica. The newer configuration asks for the voter's vote.
+  drops = [&](const Envelope& envelope) {
+    bool newer = envelope.from == new_replica || envelope.to == new_replica;
+    bool voter_hears = envelope.to == voter && envelope.from != new_replica;
+    bool owner_hears = envelope.to == owner && envelope.from == successor;
+    return !(newer && envelope.to != owner && envelope.from != owner) && !owner_hears &&
+           !(envelope.from == owner && envelope.to == successor) && (voter_hears || is_cut(envelope));
+  };
+  resume(owner);
+  run_for(6 * lease_duration);
+  EXPECT_EQ(owners(document), std::vector{successor});
+}
+
 // Guards against a second end: a replica that lacks a reported end takes over, as the one that had it was
 // dropped too early.
 TEST_F(CustodyJointElectionTest, ConfigurationStaysUntilTheNewOneHasWhatWasCommitted) {
