Do not send a recovered document whose end may have been told unrecorded

What callers saw: a document was returned to its client ("deferred"), and then sent after a kill and a quick restart: a client that came again had its effect twice.

Cause: half a second before its time is over an end is told without a record where the folder cannot be written. A restart within that half second found the document open and sent it.

Fix: the module knows that a document was held by an earlier process, and gives it no call in the last half second; the margin stands in the module, for the host to keep. An idle or full folder cannot be told apart at a start, so this binds after each restart. The platform's restarts take 0.6 s, so it ends a document early only where a process comes back sooner.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -22,6 +22,9 @@
                           : doc.expiry - doc.type->lifetime + doc.type->target_latency;
   doc.sequence = ++last_sequence_, ++doc.destination->document_count, doc.key = document.key,
   doc.transmissions = document.transmissions;
+  // The earlier process may have told its end without a record by now, so it is not sent.
+  if (document.recovered && document.time_left <= unrecorded_end_margin)
+    doc.transmissions = doc.max_transmissions;
   doc.ordered = doc.type->in_order && document.has_key;
   if (doc.ordered) key_queues_[doc.key].waiting.insert(doc.sequence);
   // Recovered after a restart: a transmission in flight may have run, so its key has to settle.
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -101,6 +101,9 @@
   double listed_rate = 0;
 };
 
+// An end that the host cannot record is told this long before its document's time is over, at the latest.
+constexpr Millis unrecorded_end_margin = 500;
+
 struct Document {
   DocId id{};
   DocTypeId type{};
@@ -115,7 +118,8 @@
   bool may_have_run = false;    // a transmission was in flight, or ended without proof that it never ran
   Millis may_have_run_ago = 0;  // since the first such transmission
   ZoneId may_have_run_zone{};
-  bool ended = false;  // its end is decided, but not yet acknowledged by the platform
+  bool recovered = false;  // held by an earlier process
+  bool ended = false;      // its end is decided, but not yet acknowledged by the platform
 };
 
 enum class TransmissionResult {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -25,8 +25,7 @@
 constexpr Millis final_reply_time = 300;
 constexpr Millis metrics_interval = 10000;
 constexpr Millis never = 1e18;
-// An end that cannot be recorded is told this long before its document's time is over, and tried this often.
-constexpr Millis unrecorded_end_margin = 500, unrecorded_end_interval = 100;
+constexpr Millis unrecorded_end_interval = 100;  // between attempts to record an end
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
@@ -285,7 +284,11 @@
     if (type == config_.doc_types.end()) return end_document(doc, false, 0);
     stored.type = type->second, stored.max_transmissions = config_.settings.max_transmissions;
   }
-  if (!stored.ended) return decision_->accept(to_document(stored, doc, EventLoop::wall_time()));
+  if (!stored.ended) {
+    Document document = to_document(stored, doc, EventLoop::wall_time());
+    document.recovered = true;
+    return decision_->accept(document);
+  }
   if (Document ended = to_document(stored, doc, EventLoop::wall_time());
       stored.type.in_order && ended.has_key) {
     ended.ended = true;
