Do not acknowledge a delivery state that was refused as too far ahead

Cause: on_message acknowledged a message though merge_delivery_state had refused its delivery state. The lease holder took that for a majority that had noted the delivery, and its successor knew nothing of it.

Fix: such a message is acknowledged only if this relay has the state, or a newer one of the key, once it is merged. That covers any reason for refusing.

The test's voter is a class now that two tests share; its checks are the same.

--- a/src/latest/latest.cpp
+++ b/src/latest/latest.cpp
@@ -262,6 +262,8 @@
           message_to(from).delivery_states.push_back(*local);
       }
       merge_delivery_state(state, state.epoch > 0);
+      // What was not merged, such as a version too far ahead, is not noted by this relay.
+      if (state.epoch > 0 && !has_noted(state)) valid = false;
     }
     for (auto sequence : message.acknowledged) on_acknowledged(from, sequence);
     for (const auto& digest : message.digests) compare(from, digest);
@@ -470,6 +472,11 @@
     return local && std::pair(local->timestamp, local->delivered) > std::pair(state.timestamp, false);
   }
 
+  bool has_noted(const DeliveryState& state) const {
+    auto local = delivery_state(state.subscription, state.key);
+    return local && local->timestamp >= state.timestamp;
+  }
+
   void insert_record(const RecordHeader& header, const LogLocation& location) {
     auto found = streams_.find(header.stream);
     if (found == streams_.end()) return;
--- a/tests/fleet/latest_test.cpp
+++ b/tests/fleet/latest_test.cpp
@@ -491,34 +491,59 @@
 
 // Guards against a key going back to an older version: any two majorities share a member, and that member
 // does not acknowledge an older version after a newer one.
-TEST(Latest, OlderVersionIsNotAcknowledgedAfterANewerOne) {
-  auto voter = make_module(two_members);
-  voter->begin_turn(10000, 1e6 + 9000);
-  voter->on_link_change(MemberId(2), true);
-  const Subscription subscription{stream, first_subscriber};
-  LatestMessage request;
-  request.lease_requests = {{subscription, 7, 1, false}};
-  voter->on_message(MemberId(2), request, true);
-  auto sends = voter->decide().sends;
-  ASSERT_TRUE(std::ranges::any_of(sends, [](const auto& send) {
-    return !send.message.lease_responses.empty() && send.message.lease_responses[0].granted;
-  }));
-  auto is_acknowledged = [&](std::uint64_t number, std::uint64_t wall, std::uint64_t epoch) {
+// A member that has granted member 2 the lease of a subscription, with epoch 7.
+class VotingMember {
+ public:
+  explicit VotingMember(std::unique_ptr<CompactedLog> module) : module_(std::move(module)) {
+    module_->begin_turn(10000, 1e6 + 9000);
+    module_->on_link_change(MemberId(2), true);
+    LatestMessage request;
+    request.lease_requests = {{subscription, 7, 1, false}};
+    module_->on_message(MemberId(2), request, true);
+    auto sends = module_->decide().sends;
+    granted = std::ranges::any_of(sends, [](const auto& send) {
+      return !send.message.lease_responses.empty() && send.message.lease_responses[0].granted;
+    });
+  }
+  // Whether it acknowledges that the delivery of this version is about to begin.
+  bool acknowledges(std::uint64_t number, std::uint64_t wall, std::uint64_t epoch) {
     LatestMessage message;
     message.sequence = number,
-    message.delivery_states = {{subscription, {1, 1}, {wall, 0, MemberId(2)}, false, epoch}};
-    voter->on_message(MemberId(2), message, true);
-    for (const auto& send : voter->decide().sends)
+    message.delivery_states = {{subscription, key, {wall, 0, MemberId(2)}, false, epoch}};
+    module_->on_message(MemberId(2), message, true);
+    for (const auto& send : module_->decide().sends)
       if (std::ranges::count(send.message.acknowledged, number)) return true;
     return false;
-  };
-  EXPECT_TRUE(is_acknowledged(1, 1000005, 7));
-  EXPECT_FALSE(is_acknowledged(2, 1000004, 7)) << "older than what it has recorded";
-  EXPECT_TRUE(is_acknowledged(3, 1000005, 7)) << "the same once more";
-  EXPECT_FALSE(is_acknowledged(4, 1000006, 6)) << "of a lease that is over";
+  }
+  std::optional<DeliveryState> noted() const { return module_->delivery_state(subscription, key); }
+
+  const Subscription subscription{stream, first_subscriber};
+  const KeyHash key{1, 1};
+  bool granted = false;
+
+ private:
+  std::unique_ptr<CompactedLog> module_;
+};
+
+TEST(Latest, OlderVersionIsNotAcknowledgedAfterANewerOne) {
+  VotingMember voter(make_module(two_members));
+  ASSERT_TRUE(voter.granted);
+  EXPECT_TRUE(voter.acknowledges(1, 1000005, 7));
+  EXPECT_FALSE(voter.acknowledges(2, 1000004, 7)) << "older than what it has recorded";
+  EXPECT_TRUE(voter.acknowledges(3, 1000005, 7)) << "the same once more";
+  EXPECT_FALSE(voter.acknowledges(4, 1000006, 6)) << "of a lease that is over";
   // merged nevertheless
-  EXPECT_EQ(voter->delivery_state(subscription, {1, 1})->timestamp.wall_time, 1000006u);
-  EXPECT_TRUE(is_acknowledged(5, 1000007, 7));
+  EXPECT_EQ(voter.noted()->timestamp.wall_time, 1000006u);
+  EXPECT_TRUE(voter.acknowledges(5, 1000007, 7));
+}
+
+// Guards against a subscriber that gets an older version after a newer one: the next lease holder knows
+// nothing of a version that the majority has acknowledged and not noted.
+TEST(Latest, VersionTooFarAheadIsNotAcknowledged) {
+  VotingMember voter(make_module(two_members));
+  ASSERT_TRUE(voter.granted);
+  EXPECT_FALSE(voter.acknowledges(1, 2000000, 7));
+  EXPECT_FALSE(voter.noted().has_value());
 }
 
 TEST(Latest, EqualVersionsWithDifferentContentAreReported) {
