Wait with a version that is too far ahead of the relay's own clock

What callers saw: a relay whose wall clock was set back by more than version_ahead_ms crashed when it came to deliver a version from before, and crashed again at each start.

Cause: merge_delivery_state refuses such a version, and propose_delivery took that for "noted already" and read the note, which was not there.

Fix: such a version is not due; it is looked at again once the clock has caught up, each minute at the latest. No other step can note it meanwhile.

Two comments of the tests stand at their tests again.

--- a/src/latest/latest.cpp
+++ b/src/latest/latest.cpp
@@ -579,6 +579,12 @@
         (stored_state && (stored_state->timestamp > record->timestamp ||
                           (stored_state->timestamp == record->timestamp && stored_state->delivered))))
       return nullptr;
+    // A version too far ahead of this relay's own clock cannot be noted, here or by others: it waits.
+    if (is_too_far_ahead(record->timestamp)) {
+      Millis ahead = -age(record->timestamp) - settings_.max_clock_offset;
+      subscriber.retries[key].not_before = now_ + std::clamp(ahead, backoff_base, max_backoff);
+      return nullptr;
+    }
     // Prevents two transmissions of one document: if the document itself goes to this subscriber, that
     // delivery ends first.
     auto direct = stream.direct_deliveries.find({key, subscriber.subscription.subscriber});
--- a/tests/fleet/latest_test.cpp
+++ b/tests/fleet/latest_test.cpp
@@ -489,8 +489,6 @@
   EXPECT_FALSE(log_module->next_timestamp(stream, key));
 }
 
-// Guards against a key going back to an older version: any two majorities share a member, and that member
-// does not acknowledge an older version after a newer one.
 // A member that has granted member 2 the lease of a subscription, with epoch 7.
 class VotingMember {
  public:
@@ -525,6 +523,8 @@
   std::unique_ptr<CompactedLog> module_;
 };
 
+// Guards against a key going back to an older version: any two majorities share a member, and that member
+// does not acknowledge an older version after a newer one.
 TEST(Latest, OlderVersionIsNotAcknowledgedAfterANewerOne) {
   VotingMember voter(make_module(two_members));
   ASSERT_TRUE(voter.granted);
@@ -596,6 +596,26 @@
   EXPECT_EQ(out(0, false), 4u);
 }
 
+// Guards against a process that ends: its own clock was set back behind a version that it has yet to deliver.
+TEST(Latest, VersionAheadOfTheOwnClockWaitsForIt) {
+  Simulation simulation(1, {}, 8);
+  simulation.accept(MemberId(1), 0);
+  simulation.run(10);
+  simulation.resubscribe({first_subscriber});
+  auto& log = simulation.log(MemberId(1));
+  Millis now = simulation.now();
+  auto deliveries_within = [&](Millis duration, Millis clock_offset) {
+    std::size_t deliveries = 0;
+    for (const Millis end = now + duration; now < end; now += 100) {
+      log.begin_turn(now, 1e12 + now + clock_offset);
+      deliveries += log.decide().deliver.size();
+    }
+    return deliveries;
+  };
+  EXPECT_EQ(deliveries_within(20000, -120000), 0u);
+  EXPECT_EQ(deliveries_within(70000, 0), 1u);
+}
+
 // Guards against a backoff that grows with each delivery that fails in the same moment: together they count
 // as one failure.
 TEST(Latest, FailuresTogetherCountOnce) {
