Count the word of a forgetful replica only for the election that asked

Found by reading the change again: the answer that a replica's directory does not know the incarnation that is asked was noted whatever election it came from. A late one could stand for an answer that was never given, beside the vote of an older directory.

Change: the answer keeps the term that it was asked in, and counts like a vote, for that election only. No test of its own: links keep their order, so none of the scripted ones can make it come late.

--- a/src/fleet/custody_election.cpp
+++ b/src/fleet/custody_election.cpp
@@ -112,7 +112,7 @@
   auto deny = [&] {
     if (found != groups_.end() && !found->second.configurations.empty()) {
       denial.configuration = found->second.configuration();
-      denial.term = found->second.voted_term;
+      if (!denial.recovering) denial.term = found->second.voted_term;
       denial.highest_document = found->second.highest_document;
       denial.number = message.configuration.revision;
     }
@@ -210,7 +210,9 @@
   Group& group = found->second;
   if (!message.yes) {
     group.highest_seen_term = std::max(group.highest_seen_term, message.term);
-    if (message.recovering) group.forgetful_members.insert(message.sender.member);
+    // Safety: like a vote, this counts only for its election.
+    if (message.recovering && group.is_candidate && message.term == group.requested_term)
+      group.forgetful_members.insert(message.sender.member);
     if (!message.configuration.owner.is_valid()) return;
     // Safety: it knows fewer of its own revisions than another member does. Its state directory is older
     // and it must not continue.
