Trial: do not excuse a lost document by the end of the trial

Found by reading the change again: the excuse of a lost document counted a process that ended for good as a lost memory, so the planned end of all relays could excuse one whose folder was emptied shortly before.

--- a/src/trial/auditor.cpp
+++ b/src/trial/auditor.cpp
@@ -342,12 +342,12 @@
     }
     return false;
   }
-  // Whether one of its processes had ended then, and its memory was not replicated anew yet.
+  // Whether one of its processes had ended then and been started again, and its memory was not replicated
+  // anew yet. One that was not started again counts in lost_member_count(), unless the log ends with it.
   static bool lost_memory_within(const Relay& relay, const Interval& span) {
-    for (std::size_t i = 0; i < relay.running.size(); ++i) {
-      bool restarted = i + 1 < relay.running.size();
+    for (std::size_t i = 0; i + 1 < relay.running.size(); ++i) {
       Time ended = relay.running[i].to;
-      Time replicated_by = restarted ? relay.running[i + 1].from + recovery_time : never;
+      Time replicated_by = relay.running[i + 1].from + recovery_time;
       if (span.overlaps(ended, replicated_by)) return true;
     }
     return false;
