--- a/src/model/cold_fleet.cpp
+++ b/src/model/cold_fleet.cpp
@@ -15,8 +15,7 @@
 namespace {
 
 constexpr Millis tick = 5;
-constexpr Millis first_outage = 30000;  // by then every relay knows its own rate
-constexpr Millis gossip_delay = 30;     // of route statuses between relays
+constexpr Millis gossip_delay = 30;  // of route statuses between relays
 constexpr Millis refusal_time = 10;
 constexpr Millis connect_timeout = 1500;
 constexpr Millis preconnect_interval = 100;
@@ -461,120 +460,13 @@
   std::uint64_t last_event_order_ = 0, last_document_ = 0;
 };
 
-void draw_outages(ColdScenario& scenario, RandomEngine& random) {
-  int count = draw_bool(random, 0.7) ? 1 : 2 + static_cast<int>(draw_uniform(random, 0, 2));
-  auto kind = OutageKind(static_cast<int>(draw_uniform(random, 0, 6)));
-  Millis from = first_outage;
-  for (int i = 0; i < count; ++i) {
-    Outage outage;
-    outage.from = from;
-    outage.kind = draw_bool(random, 0.8) ? kind : OutageKind(static_cast<int>(draw_uniform(random, 0, 6)));
-    // Without a reason given, refusals of a few seconds can't be distinguished from a rate limit.
-    Millis shortest = outage.kind == OutageKind::refuses_calls ? 5000 : 3000;
-    outage.to = from + std::exp(draw_uniform(random, std::log(shortest), std::log(30000)));
-    if (outage.kind == OutageKind::fails_most) outage.failing_share = draw_uniform(random, 0.6, 1);
-    scenario.outages.push_back(outage);
-    from = outage.to + draw_uniform(random, 1500, 1.2 * scenario.warm_up_time);
-  }
-}
-
-// Kills none, one, several or most of the relays, at once or spread out, during the outage or the return.
-void draw_restarts(ColdScenario& scenario, RandomEngine& random) {
-  double category = draw_uniform(random, 0, 1);
-  if (category < 0.4) return;
-  double share = category < 0.55   ? 0
-                 : category < 0.75 ? draw_uniform(random, 0.05, 0.4)
-                                   : draw_uniform(random, 0.4, 0.9);
-  bool together = draw_bool(random, 0.5), storage_kept = draw_bool(random, 0.75);
-  const Outage& last = scenario.outages.back();
-  Millis restart_time = draw_uniform(random, last.from, last.to + scenario.warm_up_time);
-  std::size_t count = scenario.relay_rates.size();
-  for (std::size_t i = 0; i < count; ++i) {
-    if (share == 0 ? i != 0 : !draw_bool(random, share)) continue;
-    Restart restart;
-    restart.relay = i;
-    restart.from = together ? restart_time : draw_uniform(random, last.from, last.to + scenario.warm_up_time);
-    restart.to = restart.from + draw_uniform(random, 300, 1500);
-    restart.storage_kept = storage_kept;
-    scenario.restarts.push_back(restart);
-  }
-}
-
 }  // namespace
 
-const char* name_of(OutageKind kind) {
-  static const char* const names[] = {"connections refused", "silent", "hanging", "calls refused",
-                                      "most calls failing",  "resets"};
-  return names[static_cast<int>(kind)];
-}
-
 double ColdReport::unused_share() const {
   double possible = std::min(possible_calls, wanted);
   return possible <= 0 ? 0 : std::max(0.0, 1 - delivered / possible);
 }
 
-std::string ColdScenario::describe() const {
-  static const char* const limits[] = {"unknown", "listed", "listed roughly", "reported"};
-  std::string kinds;
-  for (const auto& outage : outages) {
-    char text[80];
-    std::snprintf(text, sizeof text, "%s%s %.1f s", kinds.empty() ? "" : ", ", name_of(outage.kind),
-                  (outage.to - outage.from) / 1000);
-    kinds += text;
-  }
-  char text[400];
-  std::snprintf(
-      text, sizeof text,
-      "%zu relays, %zu restarts%s, outages: %s; limit %.1f/s (%s), capacity %.1f/s from %.2f within %.1f s, "
-      "multiple %.1f in %.1f s, batches of %d, %d endpoints, late connections %.2f%s%s%s, idle during "
-      "outages %zu",
-      relay_rates.size(), restarts.size(),
-      !restarts.empty() && !restarts[0].storage_kept ? " with empty storage" : "", kinds.c_str(), limit,
-      limits[static_cast<int>(limit_knowledge)], capacity, start_capacity, warm_up_time / 1000,
-      overload_multiple, overload_window / 1000, max_batch_size, endpoints, late_connection_share,
-      rejects_excess ? ", rejects excess" : "",
-      host_reports_connections ? "" : ", host reports no connections", relays_gossip ? ", relays gossip" : "",
-      static_cast<std::size_t>(std::count(idle_during_outage.begin(), idle_during_outage.end(), true)));
-  return text;
-}
-
-ColdScenario draw_cold_scenario(std::uint64_t seed, int relays) {
-  RandomEngine random(seed * 2654435761ULL + static_cast<std::uint64_t>(relays));
-  ColdScenario scenario;
-  double documents_per_second = std::exp(draw_uniform(random, std::log(3), std::log(40)));
-  scenario.limit = documents_per_second * draw_uniform(random, 1.0, 1.6);
-  scenario.capacity = scenario.limit * draw_uniform(random, 1.15, 1.6);
-  scenario.start_capacity = draw_uniform(random, 0.14, 0.31);
-  static const double multiples[] = {1.5, 2, 2.5, 2.5};
-  scenario.overload_multiple = multiples[static_cast<int>(draw_uniform(random, 0, 4))];
-  static const Millis windows[] = {1500, 2000, 2000, 3000};
-  scenario.overload_window = windows[static_cast<int>(draw_uniform(random, 0, 4))];
-  scenario.warm_up_time = draw_uniform(random, 9000, 14000);
-  scenario.call_time = std::exp(draw_uniform(random, std::log(40), std::log(600)));
-  scenario.limit_knowledge = LimitKnowledge(static_cast<int>(draw_uniform(random, 0, 4)));
-  bool rough = scenario.limit_knowledge == LimitKnowledge::listed_roughly;
-  scenario.listed_limit = scenario.limit * (rough ? draw_uniform(random, 0.5, 1.5) : 1);
-  scenario.endpoints = draw_bool(random, 0.6) ? 1 : 2 + static_cast<int>(draw_uniform(random, 0, 2));
-  scenario.max_batch_size = draw_bool(random, 0.6) ? 1 : 5;
-  if (draw_bool(random, 0.3)) {
-    scenario.late_connection_share = draw_uniform(random, 0.05, 0.5);
-    scenario.max_connection_delay = draw_uniform(random, 200, connect_timeout);
-  }
-  scenario.rejects_excess = draw_bool(random, 0.4);
-  scenario.relays_gossip = draw_bool(random, 0.15);
-  scenario.host_reports_connections = draw_bool(random, 0.7);
-  std::lognormal_distribution<double> skew(
-      0, draw_uniform(random, 0, 1));  // some relays see several times the mean
-  double sum = 0;
-  for (int i = 0; i < relays; ++i) sum += scenario.relay_rates.emplace_back(skew(random));
-  for (double& rate : scenario.relay_rates) rate *= documents_per_second / sum;
-  double idle_share = draw_bool(random, 0.5) ? 0 : draw_uniform(random, 0, 0.5);
-  for (int i = 0; i < relays; ++i) scenario.idle_during_outage.push_back(draw_bool(random, idle_share));
-  draw_outages(scenario, random);
-  draw_restarts(scenario, random);
-  return scenario;
-}
-
 ColdReport simulate_cold_return(const ColdScenario& scenario, std::uint64_t seed,
                                 const ColdOptions& options) {
   return ColdFleet(scenario, seed, options).run();
