--- a/src/model/cold_fleet.cpp
+++ b/src/model/cold_fleet.cpp
@@ -6,11 +6,14 @@
 #include <cstdio>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <tuple>
 #include <utility>
 
+#include "model/cold_destination.h"
+
 namespace rockcrank::model {
 namespace {
 
@@ -20,7 +23,9 @@
 constexpr Millis connect_timeout = 1500;
 constexpr Millis preconnect_interval = 100;
 constexpr double small_budget = 30;
-constexpr DestinationId destination_id{1};
+constexpr DestinationId destination_id{1}, other_destination_id{2};
+constexpr EndpointId other_endpoint{1000};
+constexpr Millis longest_idle_time = 3000;  // of a connection that is used again
 
 using RandomEngine = std::mt19937_64;
 
@@ -32,9 +37,10 @@
 class ColdFleet {
  public:
   ColdFleet(const ColdScenario& scenario, std::uint64_t seed, const ColdOptions& options)
-      : scenario_(scenario), random_(seed * 2 + 1), options_(options) {
+      : scenario_(scenario), random_(seed * 2 + 1), options_(options), destination_(scenario) {
     settings_.relays = static_cast<int>(scenario_.relay_rates.size());
-    settings_.slots = 20;
+    settings_.slots = scenario_.slots;
+    settings_.may_cancel = scenario_.may_cancel;
     settings_.max_transmissions = 12;
     settings_.tick = tick;
     settings_.connect_timeout = connect_timeout;
@@ -43,11 +49,7 @@
     settings_.warm_up_time = scenario_.warm_up_time;
     settings_.limits_from_discovery = limits_listed();
     settings_.max_retry_after = 3000;
-    DocType type;
-    type.target_latency = 4000;
-    type.lifetime = 20000;
-    type.retry_safety = RetrySafety::idempotent;
-    settings_.doc_types = {type};
+    settings_.doc_types = {scenario_.document_type};
     DestinationKind kind;
     kind.max_batch_size = scenario_.max_batch_size;
     settings_.destination_kinds = {kind};
@@ -55,7 +57,12 @@
     for (std::size_t i = 0; i < relays_.size(); ++i) {
       start(i, draw_uniform(random_, 0, 1000));
       schedule(draw_uniform(random_, 0, 1000) + next_interarrival_time(i), Event::arrival, i);
+      if (has_other_destination()) schedule(next_other_arrival(), Event::other_arrival, i);
     }
+    for (const auto& replacement : scenario_.replacements)
+      schedule(replacement.at, Event::replace, replacement.relay);
+    for (const auto& change : scenario_.reconfigurations)
+      schedule(change.at, Event::reconfigure, change.relay);
     for (const auto& restart : scenario_.restarts) {
       schedule(restart.from, Event::kill, restart.relay);
       schedule(restart.to, Event::restart_relay, restart.relay, restart.storage_kept);
@@ -76,7 +83,19 @@
 
  private:
   struct Event {
-    enum Kind { arrival, wake, outcome, connected, gossip_received, kill, restart_relay, preconnect } kind;
+    enum Kind {
+      arrival,
+      wake,
+      outcome,
+      connected,
+      gossip_received,
+      kill,
+      restart_relay,
+      preconnect,
+      other_arrival,
+      replace,
+      reconfigure
+    } kind;
     Millis at;
     std::uint64_t order;
     std::size_t relay;
@@ -87,6 +106,8 @@
   };
   struct HeldDocument {
     Millis expiry;
+    DestinationId destination = destination_id;
+    DocType type;
     int transmissions = 0;
     bool may_have_run = false;
   };
@@ -99,13 +120,16 @@
     bool is_running = true;
     Millis informed_at = -1;  // last failed call in an outage or gossip of one; negative: none
     int connections = 0;
+    std::optional<DocType> new_type;  // of documents accepted since the configuration changed
+    std::map<std::pair<DocId, int>, std::uint64_t> calls_out;  // call number by transmission
   };
   // One call of a relay, with one or more documents.
   struct Call {
     std::uint64_t process_generation = 0;
     Millis sent = 0;
     std::vector<std::pair<DocId, int>> documents;
-    Outcome outcome;  // the same for all documents
+    Outcome outcome;     // the same for all documents
+    bool ended = false;  // a canceled call ends before its outcome would come
   };
   struct DestinationCall {
     Millis at;
@@ -126,6 +150,11 @@
   Millis next_interarrival_time(std::size_t relay) {
     return 1000 * std::exponential_distribution<double>(scenario_.relay_rates[relay])(random_);
   }
+  bool has_other_destination() const { return scenario_.other_destination.documents_per_second > 0; }
+  Millis next_other_arrival() {
+    double rate = scenario_.other_destination.documents_per_second;
+    return now_ + 1000 * std::exponential_distribution<double>(rate)(random_);
+  }
   void schedule(Millis at, Event::Kind kind, std::size_t relay, std::uint64_t number = 0) {
     events_.push({kind, at, ++last_event_order_, relay, number});
   }
@@ -166,6 +195,12 @@
       entry.listed_rate = limits_listed() ? scenario_.listed_limit : 0;
       entries.push_back(entry);
     }
+    if (has_other_destination()) {
+      EndpointEntry other;
+      other.endpoint = other_endpoint;
+      other.destination = other_destination_id;
+      entries.push_back(other);
+    }
     relay.decision->update_endpoints(entries, true);
     relay.is_running = true;
   }
@@ -173,17 +208,23 @@
   void handle(const Event& event) {
     Relay& relay = relays_[event.relay];
     bool is_call_event = event.kind == Event::outcome || event.kind == Event::connected;
-    if (is_call_event && calls_[event.number].process_generation != relay.process_generation) return;
+    if (is_call_event &&
+        (calls_[event.number].ended || calls_[event.number].process_generation != relay.process_generation))
+      return;
     if (event.kind == Event::wake && event.number != relay.wake_generation) return;
     if (event.kind == Event::arrival) {
       schedule(now_ + next_interarrival_time(event.relay), Event::arrival, event.relay);
       if (scenario_.idle_during_outage[event.relay] && outage_at(now_ + scenario_.call_time)) return;
     }
+    if (event.kind == Event::other_arrival) schedule(next_other_arrival(), Event::other_arrival, event.relay);
     if (event.kind == Event::kill) return kill(event.relay);
     if (event.kind == Event::restart_relay) return restart_relay(event.relay, event.number != 0);
     if (!relay.is_running) return;
     relay.decision->begin_turn(now_);
-    if (event.kind == Event::arrival) accept_new_document(relay);
+    if (event.kind == Event::arrival) accept_new_document(relay, destination_id);
+    if (event.kind == Event::other_arrival) accept_new_document(relay, other_destination_id);
+    if (event.kind == Event::replace) replace_process(event.relay);
+    if (event.kind == Event::reconfigure) reconfigure(event.relay);
     if (event.kind == Event::outcome) {
       trace(event.relay, "end " + std::to_string(event.number) + " " +
                              std::to_string(static_cast<int>(calls_[event.number].outcome.result)));
@@ -198,18 +239,20 @@
   void accept_document(Relay& relay, DocId id, const HeldDocument& held) {
     Document document;
     document.id = id;
-    document.destination = destination_id;
+    document.destination = held.destination;
+    document.type = relay.decision->type_id(held.type);
     document.time_left = held.expiry - now_;
     document.transmissions = held.transmissions;
     document.may_have_run = held.may_have_run;
     relay.decision->accept(document);
   }
 
-  void accept_new_document(Relay& relay) {
+  void accept_new_document(Relay& relay, DestinationId destination) {
     DocId id{++last_document_};
-    HeldDocument held{now_ + settings_.doc_types[0].lifetime};
+    const DocType& type = relay.new_type ? *relay.new_type : settings_.doc_types[0];
+    HeldDocument held{now_ + type.lifetime, destination, type};
     relay.held[id] = held;
-    wanted_ += is_cold(now_);
+    wanted_ += destination == destination_id && is_cold(now_);
     accept_document(relay, id, held);
   }
   bool is_cold(Millis when) const {
@@ -217,17 +260,20 @@
     return returned >= 0 && when < returned + scenario_.warm_up_time && !outage_at(when);
   }
 
-  void end_call(Relay& relay, const Call& call) {
+  void end_call(Relay& relay, Call& call) {
+    call.ended = true;
+    const bool to_other = call.outcome.endpoint == other_endpoint;
     bool answered = call.outcome.result == TransmissionResult::answered;
-    if (!answered && call.outcome.result != TransmissionResult::not_sent && outage_at(call.sent))
+    if (!answered && !to_other && call.outcome.result != TransmissionResult::not_sent && outage_at(call.sent))
       relay.informed_at = std::max(relay.informed_at, call.sent);
     for (auto [doc, transmission] : call.documents) {
+      relay.calls_out.erase({doc, transmission});
       Outcome outcome = call.outcome;
       outcome.doc = doc;
       outcome.transmission = transmission;
       outcome.completed = answered || !relay.held.count(doc);
       relay.decision->outcome(outcome);
-      if (answered && relay.held.erase(doc) > 0) delivered_ += is_cold(call.sent);
+      if (answered && relay.held.erase(doc) > 0) delivered_ += !to_other && is_cold(call.sent);
     }
   }
 
@@ -241,10 +287,29 @@
     Relay& relay = relays_[i];
     if (!relay.is_running) return;
     trace(i, "killed");
-    ++relay.process_generation, relay.connections = 0, relay.is_running = false;
+    ++relay.process_generation, relay.connections = 0, relay.calls_out.clear(), relay.is_running = false;
     relay.decision.reset();
   }
 
+  void replace_process(std::size_t i) {
+    trace(i, "replaced");
+    std::string state = relays_[i].decision->export_state();
+    relays_[i].decision = Decision::make(settings_, random_());
+    relays_[i].decision->begin_turn(now_);
+    relays_[i].decision->import_state(state);
+  }
+
+  void reconfigure(std::size_t i) {
+    trace(i, "new configuration");
+    DocType type = settings_.doc_types[0];
+    type.target_latency *= 0.5;
+    type.lifetime *= 0.75;
+    relays_[i].new_type = type;
+    Settings changed = settings_;
+    changed.doc_types = {type};
+    relays_[i].decision->update_settings(changed);
+  }
+
   // Starts a new process. Without its storage it has no documents and doesn't know of the outage.
   void restart_relay(std::size_t i, bool storage_kept) {
     Relay& relay = relays_[i];
@@ -283,6 +348,7 @@
     for (const auto& rejected : actions.rejected) relay.held.erase(rejected.doc);
     for (DocId doc : actions.abandoned) relay.held.erase(doc);
     for (const auto& line : actions.log) trace(i, line);
+    for (const auto& canceled : actions.canceled) cancel(relay, canceled);
     for (const auto& status : relay.decision->route_statuses_to_persist())
       relay.persisted_routes[status.route] = {status, now_};
     send(i, actions.transmissions);
@@ -295,6 +361,18 @@
     }
   }
 
+  // A batch is canceled as a whole, by one of its documents.
+  void cancel(Relay& relay, const Cancel& canceled) {
+    auto found = relay.calls_out.find({canceled.doc, canceled.transmission});
+    if (found == relay.calls_out.end() ||
+        calls_[found->second].outcome.result == TransmissionResult::canceled)
+      return;
+    Call& call = calls_[found->second];
+    call.outcome.result = TransmissionResult::canceled;
+    call.outcome.duration = now_ - call.sent;
+    schedule(now_, Event::outcome, static_cast<std::size_t>(&relay - relays_.data()), found->second);
+  }
+
   void send_gossip(std::size_t from, const RouteStatus& status) {
     gossip_.push_back(status);
     for (std::size_t i = 0; i < relays_.size(); ++i)
@@ -317,16 +395,20 @@
       Call& call = calls_[open_calls[transmit.endpoint]];
       call.outcome.duration = std::min(call.outcome.duration, transmit.timeout);
       call.documents.emplace_back(transmit.doc, relay.held.at(transmit.doc).transmissions++);
+      relay.calls_out[call.documents.back()] = open_calls[transmit.endpoint];
     }
     for (std::uint64_t number = first; number < calls_.size(); ++number) begin_call(i, number);
   }
 
-  Call new_call(const Relay& relay, const Transmit& transmit) const {
+  Call new_call(const Relay& relay, const Transmit& transmit) {
     Call call;
     call.process_generation = relay.process_generation;
     call.sent = now_;
     call.outcome.endpoint = transmit.endpoint;
     call.outcome.connection_idle_time = scenario_.host_reports_connections ? 0 : -1;
+    if (scenario_.reused_connection_share > 0 && scenario_.host_reports_connections &&
+        draw_bool(random_, scenario_.reused_connection_share))
+      call.outcome.connection_idle_time = draw_uniform(random_, 1, longest_idle_time);
     call.outcome.duration = transmit.timeout;  // replaced when the result is known
     return call;
   }
@@ -352,6 +434,7 @@
     Call& call = calls_[number];
     Millis connecting_time = now_ - call.sent;
     Outcome& outcome = call.outcome;
+    if (outcome.endpoint == other_endpoint) return write_other_call(i, number);
     record_destination_call(relays_[i]);
     trace(i, "call " + std::to_string(number));
     const Outage* outage = outage_at(now_);
@@ -360,6 +443,7 @@
     if (outage && draw_bool(random_, outage->failing_share)) duration = fail(outcome, *outage);
     else if (!outage && scenario_.rejects_excess && is_cold(now_) && !has_capacity())
       outcome.result = TransmissionResult::refused, duration = refusal_time;
+    else if (!outage && scenario_.limits_calls) duration = serve(outcome);
     add_hints(outcome);
     for (auto [doc, transmission] : call.documents)
       if (auto held = relays_[i].held.find(doc); held != relays_[i].held.end())
@@ -369,15 +453,64 @@
     schedule(now_ + duration, Event::outcome, i, number);
   }
 
+  // Calls to the other destination are answered, unless it hangs.
+  void write_other_call(std::size_t i, std::uint64_t number) {
+    Call& call = calls_[number];
+    const OtherDestination& other = scenario_.other_destination;
+    Millis connecting_time = now_ - call.sent, left = call.outcome.duration;
+    bool hangs = now_ >= other.hangs_from && now_ < other.hangs_to;
+    Millis duration = hangs ? left : std::min(left, other.call_time * draw_uniform(random_, 0.5, 1.5));
+    call.outcome.result = duration < left ? TransmissionResult::answered : TransmissionResult::timed_out;
+    call.sent = now_;
+    call.outcome.duration = connecting_time + duration;
+    schedule(now_ + duration, Event::outcome, i, number);
+  }
+
+  // Sets the result of a call to a destination that limits its calls, and returns how long it takes.
+  Millis serve(Outcome& outcome) {
+    auto admission = destination_.admit(now_, capacity_at(now_));
+    if (!admission.accepted) {
+      outcome.result = TransmissionResult::refused;
+      return refusal_time;
+    }
+    Millis duration = scenario_.call_time * draw_uniform(random_, 0.5, 1.5) + admission.queued_for;
+    bool timed_out = duration >= outcome.duration;
+    if (timed_out) outcome.result = TransmissionResult::timed_out, duration = outcome.duration;
+    const Outage* next = outage_at(now_ + duration);
+    if (!next || !scenario_.ends_running_calls) return duration;
+    return end_by_outage(outcome, *next);
+  }
+
+  // The call still runs when the outage begins.
+  Millis end_by_outage(Outcome& outcome, const Outage& outage) const {
+    bool hangs = outage.kind == OutageKind::hangs || outage.kind == OutageKind::silent;
+    if (hangs) {
+      outcome.result = TransmissionResult::timed_out;
+      return outcome.duration;
+    }
+    bool resets = outage.kind == OutageKind::refuses_connections || outage.kind == OutageKind::resets;
+    outcome.result = resets ? TransmissionResult::connection_lost : TransmissionResult::error;
+    return outage.from - now_;
+  }
+
   // Sets the result, and returns how long the relay takes to learn of it.
   Millis fail(Outcome& outcome, const Outage& outage) {
     switch (outage.kind) {
       case OutageKind::refuses_connections:
         outcome.result = TransmissionResult::not_connected;
         return refusal_time;
-      case OutageKind::silent: outcome.result = TransmissionResult::not_connected; return connect_timeout;
+      case OutageKind::silent:
+        if (outcome.connection_idle_time > 0) {
+          outcome.result = TransmissionResult::timed_out;
+          return outcome.duration;
+        }
+        outcome.result = TransmissionResult::not_connected;
+        return connect_timeout;
       case OutageKind::hangs: outcome.result = TransmissionResult::timed_out; return outcome.duration;
-      case OutageKind::refuses_calls: outcome.result = TransmissionResult::refused; return refusal_time;
+      case OutageKind::refuses_calls:
+        destination_.refuse(now_);
+        outcome.result = TransmissionResult::refused;
+        return refusal_time;
       case OutageKind::fails_most: outcome.result = TransmissionResult::error; return scenario_.call_time;
       case OutageKind::resets: outcome.result = TransmissionResult::connection_lost; return refusal_time;
     }
@@ -391,7 +524,7 @@
     if (scenario_.limit_knowledge != LimitKnowledge::reported || !in_answer) return;
     outcome.hints.present = true;
     outcome.hints.rate_limit = scenario_.limit;
-    outcome.hints.remaining_share = 0.5;
+    outcome.hints.remaining_share = scenario_.limits_calls ? destination_.told_remaining_share(now_) : 0.5;
   }
 
   // Whether the destination accepts a call now: it serves at its current capacity and queues up to half a
@@ -449,6 +582,7 @@
   const ColdScenario scenario_;
   RandomEngine random_;
   const ColdOptions options_;
+  ColdDestination destination_;
   Settings settings_;
   std::vector<Relay> relays_;
   std::priority_queue<Event> events_;
--- a/src/model/cold_run.cpp
+++ b/src/model/cold_run.cpp
@@ -28,36 +28,40 @@
 }
 
 // relays: 0 to draw their number from the seed.
-ColdScenario scenario_of(std::uint64_t seed, int relays) {
-  return draw_cold_scenario(seed, relays > 0 ? relays : draw_relays(seed));
+ColdScenario scenario_of(ColdPart part, std::uint64_t seed, int relays) {
+  if (relays == 0) relays = draw_relays(seed);
+  return part == ColdPart::cold ? draw_cold_scenario(seed, relays) : draw_crowded_scenario(seed, relays);
 }
 
-void print_window(const char* what, std::uint64_t seed, const Simulation& simulation) {
+const char* name_of(ColdPart part) { return part == ColdPart::cold ? "cold" : "crowded"; }
+
+void print_window(const char* what, ColdPart part, std::uint64_t seed, const Simulation& simulation) {
   const OverloadWindow& window = simulation.report.worst;
   std::printf(
-      "%s: cold seed %llu: %.0f calls, %.0f of them by relays informed of the outage, %.1f allowed (budget "
+      "%s: %s seed %llu: %.0f calls, %.0f of them by relays informed of the outage, %.1f allowed (budget "
       "%.1f), "
       "%.0f ms after the return; unused %.2f\n  %s\n",
-      what, static_cast<unsigned long long>(seed), window.calls, window.calls_of_informed_relays,
-      window.allowed, window.budget, window.since_return, simulation.report.unused_share(),
-      simulation.scenario.describe().c_str());
+      what, name_of(part), static_cast<unsigned long long>(seed), window.calls,
+      window.calls_of_informed_relays, window.allowed, window.budget, window.since_return,
+      simulation.report.unused_share(), simulation.scenario.describe().c_str());
 }
 
 }  // namespace
 
-std::string trace_cold_return(std::uint64_t seed, int relays) {
+std::string trace_cold_return(ColdPart part, std::uint64_t seed, int relays) {
   std::string trace;
-  simulate_cold_return(scenario_of(seed, relays), seed, {false, &trace});
+  simulate_cold_return(scenario_of(part, seed, relays), seed, {false, &trace});
   return trace;
 }
 
-bool run_cold_returns(std::uint64_t first, std::uint64_t last, int relays, int threads, bool keep_going) {
+bool run_cold_returns(ColdPart part, std::uint64_t first, std::uint64_t last, int relays, int threads,
+                      bool keep_going) {
   std::vector<Simulation> simulations(last - first + 1);
   std::atomic<std::uint64_t> next = first;
   auto work = [&] {
     for (std::uint64_t seed = next++; seed <= last; seed = next++) {
       Simulation& simulation = simulations[seed - first];
-      simulation.scenario = scenario_of(seed, relays);
+      simulation.scenario = scenario_of(part, seed, relays);
       simulation.report = simulate_cold_return(simulation.scenario, seed);
     }
   };
@@ -81,14 +85,14 @@
     };
     if (used(window) > used(simulations[nearest - first].report.worst)) nearest = seed;
     if (!window.violates_rule()) continue;
-    if (++violations == 1 || keep_going) print_window("broken", seed, simulation);
+    if (++violations == 1 || keep_going) print_window("broken", part, seed, simulation);
   }
-  print_window("nearest", nearest, simulations[nearest - first]);
+  print_window("nearest", part, nearest, simulations[nearest - first]);
   std::printf(
-      "cold: %zu simulations, %llu broken, %llu with more calls than allowed from all relays; while cold: "
+      "%s: %zu simulations, %llu broken, %llu with more calls than allowed from all relays; while cold: "
       "%.0f calls, "
       "possible %.0f, wanted %.0f, delivered %.0f; %s\n",
-      simulations.size(), static_cast<unsigned long long>(violations),
+      name_of(part), simulations.size(), static_cast<unsigned long long>(violations),
       static_cast<unsigned long long>(over_allowance), calls, possible_calls, wanted, delivered,
       violations == 0 ? "all hold" : "BROKEN");
   return violations == 0;
--- a/src/model/cold_scenario.cpp
+++ b/src/model/cold_scenario.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <numeric>
 #include <random>
 
 namespace rockcrank::model {
@@ -66,6 +67,14 @@
   return names[static_cast<int>(kind)];
 }
 
+DocType ColdScenario::default_document_type() {
+  DocType type;
+  type.target_latency = 4000;
+  type.lifetime = 20000;
+  type.retry_safety = RetrySafety::idempotent;
+  return type;
+}
+
 std::string ColdScenario::describe() const {
   static const char* const limits[] = {"unknown", "listed", "listed roughly", "reported"};
   std::string kinds;
@@ -88,7 +97,22 @@
       rejects_excess ? ", rejects excess" : "",
       host_reports_connections ? "" : ", host reports no connections", relays_gossip ? ", relays gossip" : "",
       static_cast<std::size_t>(std::count(idle_during_outage.begin(), idle_during_outage.end(), true)));
-  return text;
+  std::string description = text;
+  if (limits_calls) {
+    double demand = std::accumulate(relay_rates.begin(), relay_rates.end(), 0.0);
+    std::snprintf(
+        text, sizeof text,
+        "; crowded: %.1f documents/s of %.0f ms (lifetime %.0f ms, safety %d), queue %.0f ms, %d slots, "
+        "other destination %.1f/s, hangs for %.1f s, %zu replacements, %zu configurations, first outage "
+        "at %.1f s%s%s",
+        demand, call_time, document_type.lifetime, static_cast<int>(document_type.retry_safety), queue_time,
+        slots, other_destination.documents_per_second,
+        (other_destination.hangs_to - other_destination.hangs_from) / 1000, replacements.size(),
+        reconfigurations.size(), outages.front().from / 1000,
+        refusals_use_limit ? ", refusals use the limit" : "", may_cancel ? ", cancels" : "");
+    description += text;
+  }
+  return description;
 }
 
 ColdScenario draw_cold_scenario(std::uint64_t seed, int relays) {
@@ -128,4 +152,45 @@
   return scenario;
 }
 
+ColdScenario draw_crowded_scenario(std::uint64_t seed, int relays) {
+  constexpr std::uint64_t other_seeds = 0x5eed0000000000ULL;
+  ColdScenario scenario = draw_cold_scenario(seed ^ other_seeds, relays);
+  RandomEngine random(seed * 0x9e3779b97f4a7c15ULL + static_cast<std::uint64_t>(relays));
+  scenario.limits_calls = scenario.ends_running_calls = true;
+  scenario.refusals_use_limit = draw_bool(random, 0.5);
+  double larger = std::exp(draw_uniform(random, 0, std::log(3))), crowding = draw_uniform(random, 1, 2);
+  scenario.limit *= larger, scenario.listed_limit *= larger, scenario.capacity *= larger;
+  for (double& rate : scenario.relay_rates) rate *= larger * crowding;
+  scenario.queue_time = draw_uniform(random, 300, 1000);
+  scenario.reused_connection_share = draw_uniform(random, 0, 1);
+  scenario.may_cancel = draw_bool(random, 0.7);
+  scenario.slots = static_cast<int>(draw_uniform(random, 4, 40));
+  scenario.document_type.lifetime = std::exp(draw_uniform(random, std::log(4000), std::log(12000)));
+  scenario.document_type.target_latency = scenario.document_type.lifetime * draw_uniform(random, 0.07, 0.4);
+  static const RetrySafety safeties[] = {RetrySafety::idempotent, RetrySafety::keyed, RetrySafety::unsafe};
+  scenario.document_type.retry_safety = safeties[static_cast<int>(draw_uniform(random, 0, 3))];
+  scenario.document_type.idempotency_window = draw_uniform(random, 3000, 15000);
+  // The first outage comes early in two of three.
+  Millis earlier = draw_bool(random, 0.67) ? draw_uniform(random, 0, first_outage - 5000) : 0;
+  for (Outage& outage : scenario.outages) outage.from -= earlier, outage.to -= earlier;
+  for (Restart& restart : scenario.restarts) restart.from -= earlier, restart.to -= earlier;
+  const Outage& last = scenario.outages.back();
+  auto during_outage_or_return = [&] { return draw_uniform(random, last.from, last.to + 4000); };
+  OtherDestination& other = scenario.other_destination;
+  if (draw_bool(random, 0.7)) {
+    other.documents_per_second = draw_uniform(random, 5, 40);
+    other.call_time = std::exp(draw_uniform(random, std::log(60), std::log(500)));
+  }
+  if (draw_bool(random, 0.5)) {
+    other.hangs_from = std::max(1000.0, last.from - draw_uniform(random, -3000, 10000));
+    other.hangs_to = other.hangs_from + draw_uniform(random, 3000, 15000);
+  }
+  if (draw_bool(random, 0.4)) {
+    int count = 1 + static_cast<int>(draw_uniform(random, 0, 3));
+    for (int i = 0; i < count; ++i) scenario.replacements.push_back({0, during_outage_or_return()});
+  }
+  if (draw_bool(random, 0.4)) scenario.reconfigurations.push_back({0, during_outage_or_return()});
+  return scenario;
+}
+
 }  // namespace rockcrank::model
--- a/src/model/cold_scenario.h
+++ b/src/model/cold_scenario.h
@@ -33,6 +33,25 @@
   bool storage_kept = true;
 };
 
+// A relay's process is replaced by a new one, which takes over its state and its calls.
+struct Replacement {
+  std::size_t relay = 0;
+  Millis at = 0;
+};
+
+// A configuration with an additional document type comes into force, as by SIGHUP.
+struct Reconfiguration {
+  std::size_t relay = 0;
+  Millis at = 0;
+};
+
+// The relays also call a second destination, which shares their slots. It never fails, but may hang.
+struct OtherDestination {
+  double documents_per_second = 0;  // from each relay; 0: there is none
+  Millis call_time = 120;
+  Millis hangs_from = 0, hangs_to = 0;
+};
+
 enum class LimitKnowledge : std::uint8_t { unknown, listed, listed_roughly, reported };
 
 // The conditions of one simulation, drawn from a seed or set by a test.
@@ -55,11 +74,26 @@
   bool rejects_excess = false;           // calls above the current capacity are refused
   bool host_reports_connections = true;  // whether the host reports new connections, as with sockets
   bool relays_gossip = false;            // route statuses of one relay reach all others
+  bool limits_calls = false;             // excess is always refused: above the limit, or a full queue
+  bool refusals_use_limit = false;       // refused calls use up the limit too
+  Millis queue_time = 0;                 // longest wait in the queue, where calls queue; 0: they don't
+  bool ends_running_calls = false;       // an outage ends the calls that run when it begins
+  double reused_connection_share = 0;    // of the calls
+  int slots = 20;                        // of each relay
+  bool may_cancel = false;
+  DocType document_type = default_document_type();
+  OtherDestination other_destination;
   std::vector<Outage> outages;
   std::vector<Restart> restarts;
+  std::vector<Replacement> replacements;
+  std::vector<Reconfiguration> reconfigurations;
+  static DocType default_document_type();
   std::string describe() const;  // one line
 };
 
 ColdScenario draw_cold_scenario(std::uint64_t seed, int relays);  // relays: 2 to 900
+// A destination with more traffic than it takes, whose outage may come early, and whose relays are busy with
+// another destination, are replaced or get a new configuration meanwhile.
+ColdScenario draw_crowded_scenario(std::uint64_t seed, int relays);
 
 }  // namespace rockcrank::model
--- a/src/model/main.cpp
+++ b/src/model/main.cpp
@@ -44,8 +44,10 @@
   cxxopts::Options options("rockcrank_model",
                            "Simulates the fleet's modules on a virtual clock under faults drawn from seeds");
   options.add_options()("seeds", "range A..B of seeds, or one seed", cxxopts::value<std::string>())(
-      "relays", "number of members, 3 to 300 (part cold: 2 to 900); default: drawn from the seed",
-      cxxopts::value<std::string>())("part", "membership, registers, custody, warm, latest, cold or all",
+      "relays",
+      "number of members, 3 to 300 (parts cold and crowded: 2 to 900); default: drawn from the seed",
+      cxxopts::value<std::string>())("part",
+                                     "membership, registers, custody, warm, latest, cold, crowded or all",
                                      cxxopts::value<std::string>()->default_value("all"))(
       "trace", "file for the trace of a single seed", cxxopts::value<std::string>())(
       "figures", "prints tables of the measured figures")(
@@ -58,7 +60,8 @@
   std::vector<const Part*> chosen_parts;
   Samples samples;
   int threads = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
-  bool keep_going = false, cold_returns = false;
+  bool keep_going = false;
+  std::vector<ColdPart> cold_parts;
   std::string trace_file;
   try {
     auto parsed = options.parse(count, arguments);
@@ -75,7 +78,8 @@
     if (last < first) throw BadArguments("--seeds A..B: B is below A");
     if (parsed.count("relays")) {
       auto relays = parse_whole_number(parsed["relays"].as<std::string>());
-      bool cold = parsed["part"].as<std::string>() == "cold";
+      auto part = parsed["part"].as<std::string>();
+      bool cold = part == "cold" || part == "crowded";
       if (cold && (relays < 2 || relays > 900)) throw BadArguments("--relays: 2 to 900");
       if (!cold && (relays < 3 || relays > 300)) throw BadArguments("--relays: 3 to 300");
       run_options.relays = static_cast<int>(relays);
@@ -86,15 +90,17 @@
     auto name = parsed["part"].as<std::string>();
     for (const auto& part : parts())
       if (name == "all" || name == part.name) chosen_parts.push_back(&part);
-    cold_returns = name == "all" || name == "cold";
-    if (chosen_parts.empty() && !cold_returns) throw BadArguments("--part: unknown part: '" + name + "'");
+    if (name == "all" || name == "cold") cold_parts.push_back(ColdPart::cold);
+    if (name == "all" || name == "crowded") cold_parts.push_back(ColdPart::crowded);
+    if (chosen_parts.empty() && cold_parts.empty())
+      throw BadArguments("--part: unknown part: '" + name + "'");
     if (parsed.count("plant")) {
       run_options.injected_fault = parsed["plant"].as<std::string>();
       std::erase_if(chosen_parts, [&](const Part* part) {
         return std::none_of(part->injected_faults.begin(), part->injected_faults.end(),
                             [&](const auto& fault) { return fault.first == run_options.injected_fault; });
       });
-      cold_returns = false;
+      cold_parts.clear();
       if (chosen_parts.empty())
         throw BadArguments("--plant: unknown fault: '" + run_options.injected_fault + "'");
     }
@@ -102,16 +108,16 @@
     keep_going = parsed.count("on") > 0;
     if (parsed.count("trace")) {
       trace_file = parsed["trace"].as<std::string>();
-      if (first != last || chosen_parts.size() + cold_returns != 1)
+      if (first != last || chosen_parts.size() + cold_parts.size() != 1)
         throw BadArguments("--trace needs a single seed and a single part");
     }
   } catch (const std::exception& error) {
     std::fprintf(stderr, "rockcrank_model: %s\n%s", error.what(), options.help().c_str());
     return 2;
   }
-  if (!trace_file.empty() && cold_returns) {
+  if (!trace_file.empty() && !cold_parts.empty()) {
     std::ofstream file(trace_file, std::ios::binary);
-    file << trace_cold_return(first, run_options.relays);
+    file << trace_cold_return(cold_parts[0], first, run_options.relays);
     return file.flush() ? 0 : 2;
   }
   if (!trace_file.empty()) {
@@ -155,7 +161,8 @@
                 static_cast<unsigned long long>(digest), failures.empty() ? "all hold" : "BROKEN");
     std::fflush(stdout);
   }
-  if (cold_returns) holds &= run_cold_returns(first, last, run_options.relays, threads, keep_going);
+  for (ColdPart part : cold_parts)
+    holds &= run_cold_returns(part, first, last, run_options.relays, threads, keep_going);
   if (run_options.samples) print_samples(samples);
   return holds ? 0 : 1;
 }
