Suspect a route whose calls in flight all wait, before any of them is overdue

Cause: a hang was found call by call. A call is overdue after five usual durations times the route's time-out factor (up to six). Where the destination is crowded, the usual duration holds the wait in its queue, and after an earlier outage the factor is high, so an outage of seconds is over before any call is overdue. The relay then goes on at the age of an earlier return, or at full rate.

Change: the waits of the calls in flight are added up. When they come to the overdue time of one call, without the factor, and nothing at all was heard for 0.5 s, the route is suspected and gets the rate of the start of slow start, until an answer; after 2.5 s of silence that answer begins slow start. It changes no time-out and opens no breaker. For n calls the sum is as unlikely by chance as one call overdue, so the time to notice no longer grows with the queue.

--- a/src/decision/circuit_breaker.cpp
+++ b/src/decision/circuit_breaker.cpp
@@ -2,6 +2,7 @@
 // step, and a Retry-After keeps calls back.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "decision/decider.h"
 
@@ -50,9 +51,10 @@
   // A second outage during slow start: the time without calls must not count as warm-up time.
   bool silent_since_failure = (route.consecutive_failures > 0 || route.consecutive_refusals > 0) &&
                               now_ - route.failing_since > max_limit_window;
+  bool was_silent = std::exchange(route.silent, false) && now_ - route.silent_since > max_limit_window;
   // An outage seen in any of these ways counts even where, on a relay that calls often, answers from before
   // it outweigh the failures.
-  bool outage = refusing || route.breaker != BreakerState::closed || failure_share > 0.5 ||
+  bool outage = refusing || was_silent || route.breaker != BreakerState::closed || failure_share > 0.5 ||
                 (in_slow_start(route) && silent_since_failure);
   route.consecutive_refusals = route.consecutive_failures = 0;
   // Slow start counts from the answered trial call: the confirming calls must not restart it. Nor does an
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -103,6 +103,8 @@
   Actions decide() override;
 
  private:
+  static constexpr Millis min_silence = 500;  // shorter gaps between answers are chance, or a held-up relay
+  static constexpr double overdue_durations = 5;    // usual durations after which a call is overdue
   static constexpr Millis min_stall = 1000;         // a later turn than due by more is a stall of the relay
   static constexpr Millis max_limit_window = 2500;  // longest period of a rate limit
   static constexpr Millis max_unconfirmed_wait = 10000;  // as told by an answer that is not whole yet
@@ -181,6 +183,14 @@
   Millis next_call_at(Route& route);
   Millis next_call_at(const Destination& destination);
 
+  // Silence of a route
+  struct UnansweredCalls;
+  std::map<Route*, UnansweredCalls> unanswered_calls();
+  void find_silent_routes();
+  Millis silence_due_at(Route& route, const UnansweredCalls& calls);
+  void suspect_silent_route(Route& route);
+  Millis next_silence_due();
+
   // Concurrency limit
   void set_stage(Call& call, CallStage stage);
   bool is_degraded(Route& route);
@@ -188,9 +198,10 @@
     return std::max(1, static_cast<int>(max_slot_share * settings_.slots) / (is_degraded(r) ? 2 : 1));
   }
   Millis usual_duration(Route& route);
-  Millis overdue_after(Route& route) {
-    return std::max(1000.0, 5 * usual_duration(route)) * route.timeout_factor;
+  Millis overdue_duration(Route& route) {
+    return std::max(1000.0, overdue_durations * usual_duration(route));
   }
+  Millis overdue_after(Route& route) { return overdue_duration(route) * route.timeout_factor; }
   Millis capacity_free_at(const Endpoint& e) const;
   // A call takes its slot once its connection is up; as many calls again may be connecting.
   int slots_taken() const {
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -128,6 +128,7 @@
     for (auto& [number, call] : calls_)
       if (!call.overdue && !call.counted && now_ >= call.sent_at + overdue_after(*call.route))
         call.overdue = true, record_failure(call, false, false);
+    find_silent_routes();
     for (const Rule<Decider, Route>& rule : route_rules)
       for (auto& [key, route] : routes_)
         if ((this->*rule.condition)(route)) (this->*rule.action)(route), fired = true;
@@ -191,7 +192,7 @@
 }
 
 Millis Decider::next_due() {
-  Millis due = discovery_at_;
+  Millis due = std::min(discovery_at_, std::max(next_silence_due(), now_ + settings_.tick));
   auto wake_at = [&](Millis when) { due = when > now_ ? std::min(due, when) : due; };
   for (auto& [number, call] : calls_)
     if (!call.overdue) wake_at(call.sent_at + overdue_after(*call.route));
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -86,6 +86,10 @@
         previous != std::pair(route.rate_limit, route.remaining_share < spare_limit_share);
   }
   route.completed_calls.add(now_, 1);
+  bool responded = outcome.result == TransmissionResult::answered ||
+                   outcome.result == TransmissionResult::error ||
+                   outcome.result == TransmissionResult::refused;
+  if (responded) route.responded_at = now_;
   if (outcome.result == TransmissionResult::not_connected) connect_failures_.add(now_, 1);
   if (outcome.result == TransmissionResult::connection_lost) route.lost_connections.add(now_, 1);
   if (outcome.duration > slow_call_duration) route.slow_calls.add(now_, 1);
--- a/src/decision/pacing.cpp
+++ b/src/decision/pacing.cpp
@@ -59,7 +59,8 @@
 // After a first failure, which is mostly chance, the rate of a relay that hardly ever calls there is taken
 // from that one call.
 double Decider::suspected_rate(Route& route) {
-  if (std::max(route.consecutive_failures, route.consecutive_refusals) > 1) return slow_start_rate(route, 0);
+  if (route.silent || std::max(route.consecutive_failures, route.consecutive_refusals) > 1)
+    return slow_start_rate(route, 0);
   double own_rate = std::max(route.rate_before_outage, 0.5 * route.calls.weight_per_second(0));
   Millis age = std::min(now_ - route.failing_since, settings_.warm_up_time);
   return slow_start_.rate({own_rate, route.rate_limit}, age);
@@ -71,8 +72,8 @@
 bool Decider::is_suspected(Route& route) {
   if (settings_.relays <= 1 || route.breaker != BreakerState::closed || route.failing_since >= never)
     return false;
-  return route.failures.value(now_) > route.successes.value(now_) || refuses_persistently(route) ||
-         (in_slow_start(route) && route.consecutive_refusals > 0);
+  return route.silent || route.failures.value(now_) > route.successes.value(now_) ||
+         refuses_persistently(route) || (in_slow_start(route) && route.consecutive_refusals > 0);
 }
 
 // Refusals without hints mean a met rate limit or an outage. A streak longer than a limit's window means an
