Begin slow start where a majority of recent calls failed, whatever was answered before

A destination that failed most calls for a few seconds came back cold and got the full rate of relays that had seen the failures.

Cause: whether an outage was behind an answer was told by decaying sums of failures and answers (4 s). Answers from before the outage outweigh the failures of a relay that calls often: with 60 % of its calls failing the sums cross after 7.2 s (4 s x ln 6), with 80 % after 3.9 s. Outages of 6 s that fail 60 to 80 % are over by then, and five failures in a row may not come.

Change: failures beyond answers are counted as a run (up by one for a failure, down by one for an answer, never below 0, at most ten). At five, the number that opens the breaker, the answer behind a failure begins slow start.

--- a/src/decision/circuit_breaker.cpp
+++ b/src/decision/circuit_breaker.cpp
@@ -12,6 +12,7 @@
   Route& route = *call.route;
   if (!refused) {
     route.failures.add(now_, 1);
+    route.excess_failures = std::min(route.excess_failures + 1, 2 * failures_to_open);
     if (++call.endpoint->consecutive_failures >= 2)
       call.endpoint->deprioritized_until = now_ + jittered(2 * trial_delay);
   }
@@ -52,10 +53,13 @@
   bool silent_since_failure = (route.consecutive_failures > 0 || route.consecutive_refusals > 0) &&
                               now_ - route.failing_since > max_limit_window;
   bool was_silent = std::exchange(route.silent, false) && now_ - route.silent_since > max_limit_window;
+  // Unlike the decaying sums this does not depend on how many answers came before the outage.
+  bool mostly_failing = route.excess_failures >= failures_to_open;
+  route.excess_failures = std::max(0, route.excess_failures - 1);
   // An outage seen in any of these ways counts even where, on a relay that calls often, answers from before
   // it outweigh the failures.
-  bool outage = refusing || was_silent || route.breaker != BreakerState::closed || failure_share > 0.5 ||
-                (in_slow_start(route) && silent_since_failure);
+  bool outage = refusing || was_silent || mostly_failing || route.breaker != BreakerState::closed ||
+                failure_share > 0.5 || (in_slow_start(route) && silent_since_failure);
   route.consecutive_refusals = route.consecutive_failures = 0;
   // Slow start counts from the answered trial call: the confirming calls must not restart it. Nor does an
   // answer restart it where the recovery is already known since the last failure, as from another relay.
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -73,7 +73,8 @@
   Millis down_seen_at = -never;       // latest failure that opened it, here or on another relay
   Millis last_failure_at = -never;    // latest failure seen here
   Millis trial_advanced_at = -never;  // when another relay's status moved its trial call forward
-  bool silent = false;                // several calls wait, and no response has come since silent_since
+  int excess_failures = 0;  // failures beyond the answers among them; a recent majority of calls fails
+  bool silent = false;      // several calls wait, and no response has come since silent_since
   Millis silent_since = -never;
   Millis responded_at = -never;  // latest response, also a refusal or an error
   Millis learned_at = -never,
@@ -87,8 +88,8 @@
                     calls_in_flight, opened_at, next_trial_at, failing_since, slow_start_since,
                     rate_before_outage, reduced_rate, timeout_factor, tokens, rate_reduced_at, refilled_at,
                     answered_at, connection_cap_met_at, down_seen_at, last_failure_at, trial_advanced_at,
-                    silent, silent_since, responded_at, learned_at, learned_retry_after_until,
-                    publish_pending, persist_pending);
+                    excess_failures, silent, silent_since, responded_at, learned_at,
+                    learned_retry_after_until, publish_pending, persist_pending);
   }
 
   const char* breaker_name() const {
--- a/src/decision/state_archive.h
+++ b/src/decision/state_archive.h
@@ -61,7 +61,7 @@
 
  private:
   using Json = nlohmann::json;
-  static constexpr int format_version = 6;  // changed with every change of a listed field
+  static constexpr int format_version = 7;  // changed with every change of a listed field
 
   template <typename Type>
   static Json to_json(Type&& item) {
