--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -243,6 +243,7 @@
   bool can_transmit(Doc& doc) { return can_transmit_with(doc, settings_.slots); }
   void transmit(Doc& doc);
   void check_send(const Doc& doc, const Endpoint& endpoint, bool new_call);
+  void log_limited_route(Route& route, const char* event);
   void check_write(const Doc& doc, const Endpoint& endpoint);
   void check_invariant(Invariant invariant, bool holds, const Route& route, DocId doc);
 
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -98,6 +98,9 @@
     ++docs_[doc.id].destination->document_count;
   });
   discovery_at_ = settings_.discovery_on_request ? 0 : never;
+  for (auto& [key, route] : routes_)
+    if (route.breaker != BreakerState::closed || is_slow_start_limited(route))
+      log_limited_route(route, "limited_route_taken_over");
 }
 
 Actions Decider::decide() {
--- a/src/decision/sending.cpp
+++ b/src/decision/sending.cpp
@@ -139,6 +139,7 @@
       ++counters_.slow_start_calls;
       bool over = route.slow_start_monitor.record_call(now_, allowed_rate(route), settings_.overload_window);
       check_invariant(Invariant::slow_start, !over, route, doc.id);
+      log_limited_route(route, "slow_start_call");
     }
   }
   counters_.retried_documents += doc.transmissions > 0;
@@ -151,6 +152,17 @@
   check_write(doc, endpoint);
 }
 
+// What the rate of a route in slow start, or suspected, is based on.
+void Decider::log_limited_route(Route& route, const char* event) {
+  log(route, event,
+      {{"rate", allowed_rate(route)},
+       {"own_rate", route.rate_before_outage},
+       {"limit", route.rate_limit},
+       {"slow_start_ms", in_slow_start(route) ? now_ - route.slow_start_since : -1},
+       {"failing_ms", route.failing_since < never ? now_ - route.failing_since : -1},
+       {"silent", route.silent}});
+}
+
 void Decider::check_write(const Doc& doc, const Endpoint& endpoint) {
   check_invariant(Invariant::retry_after, now_ >= endpoint.route->retry_after_until, *endpoint.route, doc.id);
   check_invariant(Invariant::closed_endpoint, endpoint.accepts_calls(), *endpoint.route, doc.id);
--- a/src/trial/cold_returns.cpp
+++ b/src/trial/cold_returns.cpp
@@ -12,18 +12,18 @@
 namespace {
 
 constexpr int destinations = 3;
-constexpr Millis rates_known_at = 9000;    // each relay knows its own rate by then
 constexpr Millis observation_time = 8000;  // after the last return
 constexpr Millis final_answers_timeout = 15000;
-constexpr double documents_per_second = 9;  // to one destination, from all relays together
 const char* const outages[] = {"down", "silent", "500", "shut", "reset"};
 
 class ColdReturns {
  public:
-  explicit ColdReturns(Harness& harness) : names_(harness.relay_names()), random_(harness.setup().seed) {
+  ColdReturns(Harness& harness, const ColdReturnLoad& load)
+      : names_(harness.relay_names()), random_(harness.setup().seed), load_(load) {
     draw_outages();
     draw_restarts();
     draw_load();
+    if (load_.reloads) draw_reloads();
   }
   Schedule& schedule() { return schedule_; }
   Millis end() const { return last_return_ + observation_time; }
@@ -41,12 +41,14 @@
     for (int i = 1; i <= failing; ++i) {
       std::string endpoint = "e" + std::to_string(i);
       std::string behaviour = outages[below(std::size(outages))];
-      Millis from = rates_known_at + between(0, 1500), to = from + between(5000, 8000);
+      Millis from = load_.first_outage + between(0, 1500),
+             to = from + between(load_.shortest_outage, load_.longest_outage);
       schedule_action(from, [=](Harness& harness) {
         harness.set_endpoint(endpoint, {{"manner", behaviour}});
       });
+      std::string answer_time = std::to_string(static_cast<int>(load_.answer_time));
       schedule_action(to, [=](Harness& harness) {
-        harness.set_endpoint(endpoint, {{"manner", "200"}, {"after", "60"}});
+        harness.set_endpoint(endpoint, {{"manner", "200"}, {"after", answer_time}});
       });
       last_return_ = std::max(last_return_, to);
     }
@@ -55,7 +57,7 @@
   // One, several or most of the relays are killed or suspended once, during the outage or the return.
   void draw_restarts() {
     double restarted_share = between(0, 1) < 0.3 ? 0.03 : between(0.1, 0.8);
-    Millis first = rates_known_at + 2000, last = last_return_ + 4000;
+    Millis first = load_.first_outage + 2000, last = last_return_ + 4000;
     Millis common_time = between(first, last);
     bool all_at_once = below(2) == 0;
     for (const auto& relay : names_) {
@@ -80,7 +82,7 @@
     std::discrete_distribution<std::size_t> relay(weights.begin(), weights.end());
     static const char* const types[] = {"plain", "plain", "numbered", "binding"};
     int number = 0;
-    Millis mean_gap = 1000 / (documents_per_second * destinations);
+    Millis mean_gap = 1000 / (load_.documents_per_second * destinations);
     for (Millis at = 0; at < end() - 2000; at += between(0.2, 1.8) * mean_gap) {
       std::string id = "d" + std::to_string(++number), name = names_[relay(random_)];
       Options options{{"type", types[below(4)]},
@@ -93,8 +95,16 @@
     }
   }
 
+  void draw_reloads() {
+    for (const auto& relay : names_)
+      schedule_action(between(load_.first_outage, last_return_ + 2000), [=](Harness& harness) {
+        if (harness.is_running(relay)) harness.reload(relay);
+      });
+  }
+
   std::vector<std::string> names_;
   std::mt19937_64 random_;
+  const ColdReturnLoad load_;
   Schedule schedule_;
   Millis last_return_ = 0;
 };
@@ -107,14 +117,16 @@
   setup.settings["rules"]["warmWithinUs"] = 9000000;
 }
 
-std::string play_cold_returns(Harness& harness) {
+std::string play_cold_returns(Harness& harness, const ColdReturnLoad& load) {
   for (int i = 1; i <= destinations; ++i)
     harness.set_endpoint("e" + std::to_string(i),
-                         {{"for", std::to_string(i)}, {"rate", "12"}, {"after", "60"}});
+                         {{"for", std::to_string(i)},
+                          {"rate", std::to_string(load.rate)},
+                          {"after", std::to_string(static_cast<int>(load.answer_time))}});
   for (const auto& relay : harness.relay_names()) harness.start_without_waiting(relay, {});
   for (const auto& relay : harness.relay_names())
     if (!harness.start(relay, {})) return relay + " does not answer; its log:\n" + harness.process_log(relay);
-  ColdReturns play(harness);
+  ColdReturns play(harness, load);
   Millis start = harness.now();
   play.schedule().play(harness);
   harness.run_until(start + play.end() - harness.now(), [] { return false; });
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -37,7 +37,7 @@
   auto add = options.add_options();
   add("seed", "random seed of the load and of all faults", cxxopts::value<unsigned long>());
   add("relays", "number of relays, 1 to 64", cxxopts::value<int>());
-  add("part", "fleet, documents, warm, latest, cold or waits; default: all but cold and waits",
+  add("part", "fleet, documents, warm, latest, cold, crowded or waits; default: the first four",
       cxxopts::value<std::string>());
   add("seconds", "duration of the load, 2 to 600", cxxopts::value<double>());
   add("scene", "file with a scripted trial, instead of a seed", cxxopts::value<std::string>());
@@ -75,8 +75,9 @@
   if (!(arguments.seconds >= 2 && arguments.seconds <= 600)) reject("--seconds must be from 2 to 600");
   if (!arguments.part.empty() && arguments.part != "fleet" && arguments.part != "documents" &&
       arguments.part != "warm" && arguments.part != "latest" && arguments.part != "cold" &&
-      arguments.part != "waits")
-    reject("--part must be fleet, documents, warm, latest, cold or waits, not '" + arguments.part + "'");
+      arguments.part != "crowded" && arguments.part != "waits")
+    reject("--part must be fleet, documents, warm, latest, cold, crowded or waits, not '" + arguments.part +
+           "'");
   if (!arguments.violation.empty()) {
     auto names = violation_names();
     if (std::find(names.begin(), names.end(), arguments.violation) == names.end()) {
@@ -131,7 +132,8 @@
   if (!arguments.faults.empty()) setup.fault_library = std::filesystem::absolute(arguments.faults).string();
   setup.settings = default_settings();
   std::optional<Scene> scene;
-  const bool cold = arguments.scene.empty() && arguments.part == "cold";
+  const bool crowded = arguments.part == "crowded";
+  const bool cold = arguments.scene.empty() && (crowded || arguments.part == "cold");
   const bool waits = arguments.scene.empty() && arguments.part == "waits";
   if (cold) set_up_cold_returns(setup);
   else if (waits) set_up_wait_soak(setup);
@@ -139,7 +141,7 @@
   else scene.emplace(arguments.scene), scene->set_up(setup);
   Harness harness(setup);
   auto failed = scene   ? scene->play(harness)
-                : cold  ? play_cold_returns(harness)
+                : cold  ? play_cold_returns(harness, crowded ? crowded_load : cold_load)
                 : waits ? play_wait_soak(harness, arguments.seconds)
                         : play_random_trial(harness, arguments.part, arguments.seconds);
   if (!arguments.violation.empty() && failed.empty()) mutate_log(arguments.violation, harness.log());
