--- a/src/trial/cold_returns.cpp
+++ b/src/trial/cold_returns.cpp
@@ -41,6 +41,7 @@
     for (int i = 1; i <= failing; ++i) {
       std::string endpoint = "e" + std::to_string(i);
       std::string behaviour = outages[below(std::size(outages))];
+      if (load_.silent_only) behaviour = "silent";
       Millis from = load_.first_outage + between(0, 1500),
              to = from + between(load_.shortest_outage, load_.longest_outage);
       schedule_action(from, [=](Harness& harness) {
@@ -85,10 +86,12 @@
     Millis mean_gap = 1000 / (load_.documents_per_second * destinations);
     for (Millis at = 0; at < end() - 2000; at += between(0.2, 1.8) * mean_gap) {
       std::string id = "d" + std::to_string(++number), name = names_[relay(random_)];
-      Options options{{"type", types[below(4)]},
-                      {"for", std::to_string(1 + below(destinations))},
-                      {"left", std::to_string(9000 + below(6000))},
-                      {"c", "c" + std::to_string(below(2))}};
+      Options options{
+          {"type", types[below(4)]},
+          {"for", std::to_string(1 + below(destinations))},
+          {"left", std::to_string(static_cast<int>(load_.shortest_life) +
+                                  below(static_cast<int>(load_.longest_life - load_.shortest_life)))},
+          {"c", "c" + std::to_string(below(2))}};
       schedule_action(at, [=](Harness& harness) {
         if (harness.is_running(name) && !harness.is_suspended(name)) harness.submit(name, id, options);
       });
@@ -111,8 +114,9 @@
 
 }  // namespace
 
-void set_up_cold_returns(Setup& setup) {
+void set_up_cold_returns(Setup& setup, const ColdReturnLoad& load) {
   setup.fleet = setup.share = false;
+  setup.settings["specifics"]["slots"] = load.slots;
   setup.settings["rules"]["startCapacity"] = 0.15;
   setup.settings["rules"]["warmWithinUs"] = 9000000;
 }
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -135,13 +135,14 @@
   const bool crowded = arguments.part == "crowded";
   const bool cold = arguments.scene.empty() && (crowded || arguments.part == "cold");
   const bool waits = arguments.scene.empty() && arguments.part == "waits";
-  if (cold) set_up_cold_returns(setup);
+  const ColdReturnLoad& cold_return_load = crowded ? crowded_load : cold_load;
+  if (cold) set_up_cold_returns(setup, cold_return_load);
   else if (waits) set_up_wait_soak(setup);
   else if (arguments.scene.empty()) set_up_random_trial(setup, arguments.part);
   else scene.emplace(arguments.scene), scene->set_up(setup);
   Harness harness(setup);
   auto failed = scene   ? scene->play(harness)
-                : cold  ? play_cold_returns(harness, crowded ? crowded_load : cold_load)
+                : cold  ? play_cold_returns(harness, cold_return_load)
                 : waits ? play_wait_soak(harness, arguments.seconds)
                         : play_random_trial(harness, arguments.part, arguments.seconds);
   if (!arguments.violation.empty() && failed.empty()) mutate_log(arguments.violation, harness.log());
