Keep what a restarted relay knew of an outage, however short its documents live

Callers saw: a destination that had just come back was called at once, at the full rate, by a relay that was killed and started again.

Cause: apply_route_status dropped a stored outage whose newest evidence was older than the longest life of a document. Meant for the word of other relays, it also held for what this relay had stored itself. With lives of seconds, and trials that wait for a connection or a document, the last failure is soon older than that.

--- a/src/decision/route_status.cpp
+++ b/src/decision/route_status.cpp
@@ -44,6 +44,8 @@
          until = now_ + status.retry_after_left;
   Millis recovered_at = route.slow_start_since > now_ ? -never : route.slow_start_since,
          oldest_relevant = now_ - max_lifetime_;
+  // What this relay saw itself stays true until it sees the recovery.
+  Millis oldest_outage = status.from_this_relay ? -never : oldest_relevant;
   route.id = status.route, route.learned_at = now_;
   // Another relay's refusal extends this relay's streak of refusals.
   if (status.rate_limit > 0 && status.remaining_share < 0.1 && met_at > route.answered_at &&
@@ -63,7 +65,7 @@
       seen_at > std::max(recovered_at, now_ - settings_.warm_up_time))
     record_rate_before_outage(route, own_rate), begin_slow_start(route, seen_at);
   if (status.state == RouteState::down && !breaker_open &&
-      seen_at >= std::max({route.answered_at, recovered_at, oldest_relevant})) {
+      seen_at >= std::max({route.answered_at, recovered_at, oldest_outage})) {
     record_rate_before_outage(route, own_rate), route.failing_since = std::min(route.failing_since, now_);
     route.failures.add(now_, failures_to_open), open_breaker(route), route.down_seen_at = seen_at;
   } else if (status.state != RouteState::down && route.breaker == BreakerState::open &&
