--- a/src/decision/silence.cpp
+++ b/src/decision/silence.cpp
@@ -26,7 +26,8 @@
     calls.total_wait += now_ - waits_since;
     calls.since = std::min(calls.since, waits_since);
   }
-  std::erase_if(by_route, [](const auto& entry) { return entry.second.count < 2; });
+  // With fewer calls out the lower rate would delay the failures that open the breaker.
+  std::erase_if(by_route, [](const auto& entry) { return entry.second.count < failures_to_open; });
   return by_route;
 }
 
