Let the next trial go once the last one is overdue, not only once it times out

Callers saw: a destination that was back after a hang got no call for up to 17 s more.

Cause: a half-open breaker has one place, and a trial that hung kept it until its time-out. Each hung call that times out lengthens the next time-out by half, up to six times; overdue, the trial was counted as failed long before.

Change: in a half-open breaker only calls that are not overdue count against the one place; the cap of the route still counts all.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -181,6 +181,7 @@
   bool refuses_persistently(const Route& route) const;
   double available_tokens(Route& route);
   Millis next_call_at(Route& route);
+  int calls_not_overdue(const Route& route) const;
   Millis next_call_at(const Destination& destination);
 
   // Silence of a route
--- a/src/decision/pacing.cpp
+++ b/src/decision/pacing.cpp
@@ -101,7 +101,9 @@
   int max_in_flight = route.breaker == BreakerState::half_open    ? 1
                       : route.breaker == BreakerState::confirming ? 2
                                                                   : settings_.slots;
-  if (route.calls_in_flight >= std::min(max_in_flight, max_calls(route)) ||
+  // A trial call that hangs is known to have failed once it is overdue, long before it times out.
+  int in_flight = route.breaker == BreakerState::half_open ? calls_not_overdue(route) : route.calls_in_flight;
+  if (in_flight >= std::min(max_in_flight, max_calls(route)) || route.calls_in_flight >= max_calls(route) ||
       now_ + 2 * usual_duration(route) > shutdown_at_)
     return never;
   double rate = allowed_rate(route),
@@ -109,6 +111,12 @@
   return missing_tokens <= 1e-9 ? now_ : now_ + std::min(500.0, 1000 * missing_tokens / rate);
 }
 
+int Decider::calls_not_overdue(const Route& route) const {
+  return static_cast<int>(std::ranges::count_if(calls_, [&](const auto& entry) {
+    return entry.second.route == &route && entry.second.document_count > 0 && !entry.second.overdue;
+  }));
+}
+
 Millis Decider::next_call_at(const Destination& destination) {
   Millis earliest = never;
   for (Endpoint* e : destination.ranked_endpoints) earliest = std::min(earliest, next_call_at(*e->route));
