--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -140,6 +140,7 @@
     bool over_limit = false;             // beyond the endpoint's connection cap
     bool ignored = false;                // requests to the agent get no answer
     bool not_reading = false;            // a client that doesn't read
+    std::string last_answer;             // of an endpoint, or to a report
     std::int64_t watched_revision = -1;  // of an open long poll; -1: none
     double watch_deadline = 0;
   };
@@ -292,12 +293,23 @@
       return true;
     }
     if (head.rfind("POST /reports ", 0) == 0) {
+      constexpr const char* acknowledged = "HTTP/1.1 204 No Content\r\n\r\n";
+      if (agent_fails_next_report_ && reports_acknowledged_ > 0) {
+        agent_fails_next_report_ = false;
+        if (!connection.last_answer.empty())
+          scheduled_writes_.emplace(now(), ScheduledWrite{fd, connection.last_answer, false});
+        scheduled_writes_.emplace(
+            now() + 20, ScheduledWrite{fd, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false});
+        return true;
+      }
+      ++reports_acknowledged_;
+      connection.last_answer = acknowledged;
       std::istringstream lines(body);
       for (std::string line; std::getline(lines, line);) {
         auto report = Json::parse(line);
         reports_[report.at("id").get<std::string>()].push_back(report);
       }
-      scheduled_writes_.emplace(now(), ScheduledWrite{fd, "HTTP/1.1 204 No Content\r\n\r\n", false});
+      scheduled_writes_.emplace(now(), ScheduledWrite{fd, acknowledged, false});
     } else if (head.rfind("GET /v1/servers ", 0) == 0) {
       send_list(fd);
     } else if (head.rfind("GET /v1/servers?after=", 0) == 0) {
@@ -392,10 +404,12 @@
               {{"id", id}, {"state", endpoint.options.count(id) ? endpoint.options.at(id) : "ok"}});
         answer_body = states.dump();
       }
+      if (endpoint.options.count("unique")) answer_body += "answer" + std::to_string(calls_.size());
       if (endpoint.options.count("wait")) answer += "Retry-After: " + endpoint.options.at("wait") + "\r\n";
       answer += "Content-Length: " + std::to_string(answer_body.size()) + "\r\n\r\n" + answer_body;
     }
     bool close = endpoint.options.count("close") > 0;
+    write_copies(fd, connection, endpoint.options, after, answer);
     if (endpoint.options.count("held")) {
       held_answers_.push_back({connection.endpoint, {fd, answer, close}});
       return true;
@@ -408,6 +422,20 @@
     return true;
   }
 
+  // Writes the answer to the previous call of a connection once more, while the next call is out (copy_next) or
+  // after this call's own answer (copy).
+  void write_copies(int fd, Connection& connection, const Options& options, double answered_at,
+                    const std::string& answer) {
+    const auto previous = std::exchange(connection.last_answer, answer);
+    if (options.count("copy_next") && !previous.empty())
+      for (int i = 0; i < number_or(options, "copies", 1); ++i)
+        scheduled_writes_.emplace(now() + number_or(options, "copy_next", 0),
+                                  ScheduledWrite{fd, previous, false});
+    if (options.count("copy"))
+      scheduled_writes_.emplace(answered_at + number_or(options, "copy", 0),
+                                ScheduledWrite{fd, answer, false});
+  }
+
   // The names of clients with received bytes, read from the socket or not, that no hear has consumed yet.
   std::string clients_with_answers() const {
     std::string names = " ";
@@ -707,6 +735,8 @@
       next_list_fault_ = arguments.at(2);
     } else if (verb == "agent" && arguments.at(1) == "goes_on") {
       send_withheld();
+    } else if (verb == "agent" && arguments.at(1) == "copies") {
+      agent_fails_next_report_ = true;
     } else if (verb == "agent" && arguments.at(1) == "forgets") {
       for (auto& [fd, connection] : connections_) connection.watched_revision = -1;
     } else if (verb == "agent") {
@@ -924,6 +954,8 @@
   std::int64_t revision_ = 1;
   Json known_list_;  // the list as written into the last configuration
   bool agent_silent_ = false, agent_busy_ = false;
+  bool agent_fails_next_report_ = false;  // after one was acknowledged; that answer is written once more
+  std::size_t reports_acknowledged_ = 0;
   std::string next_list_fault_;          // fault of the next list, empty: none
   std::map<int, std::string> withheld_;  // the rest of a response, by connection
   std::int64_t requested_after_ = -1;    // the version after which the relay last requested updates
