Send each call of reports over a connection of its own, as a copy acknowledged the next one

Cause: AgentClient took the first response on its connection for the request that was out, and every 204 looks like any other, so nothing in the bytes can tell a copy. Change: the first response on a connection can belong to no earlier request; a request of up to 100 reports has a connection of its own, to an agent on the same machine. The watch keeps its connection: a copy of a list carries its own version, and an older one is refused.

--- a/src/relay/discovery.cpp
+++ b/src/relay/discovery.cpp
@@ -71,7 +71,8 @@
   in_flight_ = false;
   timer_.clear();
   // The response points into the stream's buffer, which must outlive on_response().
-  if (response.closes_connection || closed || response.size < stream_->received().size()) {
+  const bool is_last = connections_ == Connections::per_request || response.closes_connection || closed;
+  if (is_last || response.size < stream_->received().size()) {
     auto finished = std::move(stream_);
     finished->close();
     on_response(response);
@@ -82,7 +83,8 @@
   stream->consume(response.size);
 }
 
-EndpointListWatch::EndpointListWatch(EventLoop& loop, const Address& agent) : client_(loop, agent) {
+EndpointListWatch::EndpointListWatch(EventLoop& loop, const Address& agent)
+    : client_(loop, agent, AgentClient::Connections::kept) {
   client_.on_failure = [this] { on_failure(false, client_.elapsed()); };
   client_.on_response = [this](const HttpResponse& response) {
     if (response.status != 200 || !on_list(response.body())) {
@@ -119,7 +121,9 @@
 }
 
 ReportSender::ReportSender(EventLoop& loop, const Address& agent)
-    : loop_(loop), client_(loop, agent), retry_timer_(loop, [this] { send(); }) {
+    : loop_(loop),
+      client_(loop, agent, AgentClient::Connections::per_request),
+      retry_timer_(loop, [this] { send(); }) {
   client_.on_response = [this](const HttpResponse& response) {
     if (response.status != 204)
       log_line("reports: status %d for %zu reports", response.status, in_flight_.size());
--- a/src/relay/discovery.h
+++ b/src/relay/discovery.h
@@ -16,11 +16,14 @@
 
 namespace rockcrank {
 
-// Sends one HTTP request at a time to the agent over a persistent connection.
+// Sends one HTTP request at a time to the agent.
 class AgentClient {
  public:
-  AgentClient(EventLoop& loop, const Address& agent)
-      : loop_(loop), agent_(agent), timer_(loop, [this] { fail(); }) {}
+  // kept: over one connection, on which a response may be a copy of an earlier one. per_request: over a
+  // connection of its own, whose first response can belong to this request only.
+  enum class Connections { kept, per_request };
+  AgentClient(EventLoop& loop, const Address& agent, Connections connections)
+      : loop_(loop), agent_(agent), connections_(connections), timer_(loop, [this] { fail(); }) {}
   std::function<void(const HttpResponse&)> on_response;  // may send the next request
   std::function<void()> on_failure;
   void send_request(std::string request, Millis timeout);
@@ -37,6 +40,7 @@
 
   EventLoop& loop_;
   Address agent_;
+  Connections connections_;
   Timer timer_;
   std::unique_ptr<Stream> stream_;
   std::string request_;
