Believe an answer only where it is proved to be its call's, or its own has had its time

Cause: the first answer on a connection ended the call that was out, whatever it answered. HTTP/1.1 tells the call by the order alone, so a copy of an earlier answer took the place of the call's own, and every later answer was shifted by one. Change: an answer is proved where it is the first on its connection, or repeats none of the earlier ones there while all of them were proved. One that lists other ids is dropped. What comes before a call is written moves the call to a new connection. Unproven answers that disagree mean that the call may have run; a refusal of an unsafe document has to be proved. Where an endpoint was seen to copy, connections whose answers look alike carry one call. A delivery believed without a proof and contradicted later is reported to the platform. Counted and logged: answers_copied, answers_unexpected, answers_before_call, answers_unproven; event=answer_copied, answer_unexpected, answer_before_call, delivery_contradicted; attempt_failed tells the connection and the calls before on it.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -80,6 +80,11 @@
   void accept(const Document& document) override;
   void outcome(const Outcome& outcome) override;
   void wait_told_early(DocId doc, int transmission, Millis wait) override;
+  Millis believe_after(const UnprovenAnswer& answer) override;
+  void note_copied_answer(EndpointId id) override;
+  void wait_told(EndpointId id, Millis wait) override;
+  bool may_keep_connection(EndpointId id, bool answers_alike) override;
+  bool may_reuse_connection(EndpointId id, DocId doc, const EarlierAnswers& earlier) override;
   void withdraw(DocId id) override;
   void set_offline(EndpointId id, bool offline) override;
   void pause_sending(bool paused) override { sending_paused_ = paused; }
@@ -109,6 +114,11 @@
   static constexpr Millis max_limit_window = 2500;  // longest period of a rate limit
   static constexpr Millis max_unconfirmed_wait = 10000;  // as told by an answer that is not whole yet
   static constexpr Millis full_endpoint_hold = 5000;
+  static constexpr double early_answer_share = 0.5;     // of the shortest recent time
+  static constexpr double early_answer_patience = 3;    // times the longest recent answer
+  static constexpr double usual_answer_patience = 1.5;  // times the usual duration of a call
+  static constexpr double longest_answer_patience = 1.1;
+  static constexpr Millis copy_memory = 60000;  // an endpoint that copied an answer may do so again
   static constexpr Millis connection_cap_memory = 30000;
   static constexpr int min_connection_cap = 5;  // any endpoint accepts so many connections
   static constexpr int max_unlisted_routes = 1000;
@@ -148,6 +158,10 @@
 
   // Outcomes
   void record_call_result(Call& call, const Outcome& outcome);
+  void record_answer_time(Endpoint& endpoint, const Outcome& outcome);
+  bool copied_lately(const Endpoint& endpoint) const {
+    return now_ < endpoint.answer_times.copied_at + copy_memory;
+  }
   void log_failed_transmission(const Doc& doc, const Outcome& outcome, const Route& route);
   void record_idle_connection_loss(const Route& route, Millis idle_time);
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -149,12 +149,31 @@
   bool exhausted = false;  // no transmissions are left, whatever this relay has counted
   Millis retry_after = 0;
   Millis duration = 0;
+  Millis answer_time = -1;           // of it since the call was written; negative: unknown to the host
   Millis connection_idle_time = -1;  // before this call; 0: new connection; negative: unknown to the host
   bool connection_closed = false;    // by the endpoint, with its answer
   bool never_written = false;        // the endpoint cannot have the whole request
+  bool unproven = false;             // the answer may be a copy of an earlier one: UnprovenAnswer
+  std::uint64_t connection = 0;      // number of the connection in the host's log; 0: unknown
+  int calls_before = 0;              // calls answered on that connection before
   LoadHints hints;
 };
 
+// The answers that came on a connection before.
+struct EarlierAnswers {
+  bool all_proved = true;  // each belonged to its call
+  bool any_refusal = false;
+};
+
+// An answer on a connection that had carried calls before, which repeats one of their answers or comes where
+// an earlier one was not proved. It may be a copy, and the call's own answer still to come.
+struct UnprovenAnswer {
+  DocId doc{};
+  int transmission = 0;
+  Millis answer_time = 0;  // since the call was written
+  bool never_ran = false;  // it says that the call never ran
+};
+
 struct Transmit {
   DocId doc{};
   EndpointId endpoint{};
@@ -254,6 +273,16 @@
   // A refusal with this Retry-After has begun to arrive; its rest, and with it the outcome, may come late or
   // never.
   virtual void wait_told_early(DocId doc, int transmission, Millis wait) = 0;
+  // How long after the call was written the answer is believed, unless another one follows by then.
+  virtual Millis believe_after(const UnprovenAnswer& answer) = 0;
+  // The endpoint wrote an answer more often than it was called.
+  virtual void note_copied_answer(EndpointId endpoint) = 0;
+  // A Retry-After in an answer that belongs to no call that is out.
+  virtual void wait_told(EndpointId endpoint, Millis wait) = 0;
+  // Whether a connection that has carried a call to the endpoint may carry another one, of this document.
+  // answers_alike: its last answer had the same bytes as one to another call there.
+  virtual bool may_keep_connection(EndpointId endpoint, bool answers_alike) = 0;
+  virtual bool may_reuse_connection(EndpointId endpoint, DocId doc, const EarlierAnswers& earlier) = 0;
   // The document is no longer this relay's: another relay has it, or the end decided here is acknowledged.
   virtual void withdraw(DocId doc) = 0;
   // Taken out of service by an operator until it is put back, whatever discovery says. Back online it begins
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -32,6 +32,7 @@
   // A call cut short by its document's expiry says nothing about the destination.
   bool is_evidence = outcome.result != TransmissionResult::not_sent && !canceled &&
                      !(timed_out && outcome.duration < overdue_duration);
+  record_answer_time(*call.endpoint, outcome);
   if (!call.counted && is_evidence) record_call_result(call, outcome);
   call.counted = true;
   if (--call.document_count == 0) {
@@ -169,13 +170,14 @@
 void Decider::log_failed_transmission(const Doc& doc, const Outcome& outcome, const Route& route) {
   static const char* const result_names[] = {"answered",      "error",  "refused",    "timed_out",
                                              "not_connected", "broken", "called_off", "not_sent"};
-  char text[200];
+  char text[260];
   std::snprintf(text, sizeof text,
                 "event=attempt_failed message=%llu attempt=%d route=%llx breaker=%s ending=%s took_ms=%.0f "
-                "wait_ms=%.0f next_try_ms=%.0f",
+                "wait_ms=%.0f next_try_ms=%.0f connection=%llu calls_before=%d%s",
                 0ULL + static_cast<std::uint64_t>(doc.id), outcome.transmission, 0ULL + route.id,
                 route.breaker_name(), result_names[static_cast<int>(outcome.result)], outcome.duration,
-                outcome.retry_after, doc.not_before - now_);
+                outcome.retry_after, doc.not_before - now_, 0ULL + outcome.connection, outcome.calls_before,
+                outcome.unproven ? " unproven=1" : "");
   actions_.log.push_back(text);
 }
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "decision/answer_times.h"
 #include "decision/decision.h"
 #include "decision/slow_start.h"
 
@@ -151,6 +152,7 @@
   Millis deprioritized_until = -never, answered_at = -never, limit_met_at = -never,
          connection_cap_met_at = -never, idle_since = never, gone_at = never;
   Millis online_at = -never, not_before = -never;  // last set online; earliest next call after that
+  AnswerTimes answer_times;  // not handed over: a new process learns them within its first calls
   auto fields() {
     return std::tie(id, destination, zone, has_own_route, status, offline, rank, calls_in_flight,
                     consecutive_failures, concurrency_limit, refuses_when_full, deprioritized_until,
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -78,6 +78,17 @@
   return {TransmissionResult::error, false};
 }
 
+// The results that an answer to several documents lists, by id.
+std::map<std::string, CallResult> listed_results(const HttpResponse& answer) {
+  auto states = nlohmann::json::parse(answer.body(), nullptr, false);
+  std::map<std::string, CallResult> results;
+  for (const auto& state : states.is_array() ? states : nlohmann::json::array())
+    if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
+        state["state"].is_string())
+      results[state["id"].get<std::string>()] = result_of(state["state"].get<std::string>());
+  return results;
+}
+
 }  // namespace
 
 // One connection and the call on it. A call is aborted as a whole by closing its connection, because the
@@ -90,7 +101,8 @@
         address_(address),
         stream_(owner.loop_, address),
         timer_(owner.loop_, [this] { on_timeout(); }),
-        connect_timer_(owner.loop_, [this] { abort(TransmissionResult::not_connected); }) {
+        connect_timer_(owner.loop_, [this] { abort(TransmissionResult::not_connected); }),
+        belief_timer_(owner.loop_, [this] { on_belief_timer(); }) {
     set_callbacks();
   }
   Connection(Endpoints& owner, const ConnectionSnapshot& snapshot)
@@ -100,6 +112,11 @@
         stream_(owner.loop_, snapshot.stream),
         timer_(owner.loop_, [this] { on_timeout(); }),
         connect_timer_(owner.loop_, [this] { abort(TransmissionResult::not_connected); }),
+        belief_timer_(owner.loop_, [this] { on_belief_timer(); }),
+        history_(snapshot.history),
+        answers_alike_(snapshot.answers_alike),
+        unproven_answer_(snapshot.unproven_answer),
+        unproven_at_(snapshot.unproven_at),
         transmissions_(snapshot.transmissions),
         request_(snapshot.request),
         is_batch_(snapshot.is_batch),
@@ -107,18 +124,28 @@
         connection_closed_(snapshot.connection_closed),
         draining_(snapshot.draining),
         started_at_(snapshot.started_at),
+        written_at_(snapshot.written_at),
         idle_since_(snapshot.idle_since),
         connection_idle_time_(snapshot.connection_idle_time) {
     set_callbacks();
     start_connect_timer();
-    if (!transmissions_.empty()) start_call_timer();
-    else if (draining_) timer_.set(owner_.loop_.now() + drain_timeout);
+    if (!transmissions_.empty()) {
+      start_call_timer();
+      if (!unproven_answer_.empty()) belief_timer_.set(owner_.loop_.now());
+    } else if (draining_) timer_.set(owner_.loop_.now() + drain_timeout);
     else start_idle_timer();
   }
   ConnectionSnapshot snapshot() const {
-    return {endpoint_, address_,    stream_.snapshot(), transmissions_,
-            request_,  is_batch_,   deferred_,          connection_closed_,
-            draining_, started_at_, idle_since_,        connection_idle_time_};
+    ConnectionSnapshot all;
+    all.endpoint = endpoint_, all.address = address_, all.stream = stream_.snapshot();
+    all.transmissions = transmissions_, all.request = request_;
+    all.unproven_answer = unproven_answer_, all.unproven_at = unproven_at_;
+    all.history = history_.snapshot(), all.answers_alike = answers_alike_;
+    all.is_batch = is_batch_, all.deferred = deferred_;
+    all.connection_closed = connection_closed_, all.draining = draining_;
+    all.started_at = started_at_, all.written_at = written_at_;
+    all.idle_since = idle_since_, all.connection_idle_time = connection_idle_time_;
+    return all;
   }
   bool active() const { return !transmissions_.empty() || draining_; }
   bool deferred() const { return deferred_ && !request_.empty(); }
@@ -134,12 +161,24 @@
     return connecting() || (stream_.received().empty() && stream_.has_no_pending_input());
   }
   bool connecting() const { return stream_.state() == Stream::State::connecting; }
+  bool is_retired() const { return retired_; }
+  // Carries no further call. Returns whether the own answer of its last call may still come.
+  bool retire() {
+    if (delivered_unproven_.empty() || owner_.loop_.now() >= last_deadline_) return false;
+    if (stream_.state() != Stream::State::connected) return false;
+    retired_ = true;
+    timer_.set(last_deadline_);
+    return true;
+  }
+  EarlierAnswers earlier_answers() const { return {history_.in_step(), history_.has_refusal()}; }
+  bool answers_alike() const { return answers_alike_; }
+  bool is_unused() const { return history_.answers() == 0; }
   Millis idle_since() const { return idle_since_; }
 
   void start_call(const std::vector<OutboundTransmission>& transmissions) {
     started_at_ = owner_.loop_.now();
     connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
-    wait_reported_ = false;
+    wait_reported_ = unproven_ = disputed_ = false;
     report_preconnect(PreconnectEvent::used);
     const Millis deadline = call_deadline(transmissions);
     for (const auto& sent : transmissions)
@@ -147,10 +186,16 @@
     is_batch_ = transmissions.size() > 1;
     request_ = build_request(transmissions, address_.host + ":" + std::to_string(address_.port),
                              std::max(0.0, deadline - started_at_));
-    start_call_timer();
-    start_connect_timer();
-    if (stream_.state() == Stream::State::connected) record_and_write();
-    else owner_.on_connecting(transmissions_[0].doc, transmissions_[0].transmission);
+    begin_call();
+  }
+  // Takes a call over that was not written on another connection.
+  void take_call(Connection& from) {
+    started_at_ = owner_.loop_.now();
+    transmissions_ = std::exchange(from.transmissions_, {});
+    request_ = std::exchange(from.request_, {});
+    is_batch_ = from.is_batch_;
+    if (std::exchange(from.recorded_, false)) owner_.on_write_deferred(transmissions_);
+    begin_call();
   }
   void start_preconnect() {
     preconnected_ = true, idle_since_ = started_at_ = owner_.loop_.now();
@@ -190,7 +235,10 @@
     if (!finished_by_pending_input()) abort(TransmissionResult::canceled);
   }
 
-  void close() { stream_.close(), timer_.clear(), connect_timer_.clear(); }
+  void close() {
+    stream_.close();
+    timer_.clear(), connect_timer_.clear(), belief_timer_.clear();
+  }
 
   void on_idle() {
     idle_since_ = owner_.loop_.now();
@@ -204,7 +252,16 @@
   }
 
  private:
+  void begin_call() {
+    start_call_timer();
+    start_connect_timer();
+    if (stream_.state() == Stream::State::connected) record_and_write();
+    else if (stream_.state() == Stream::State::connecting)
+      owner_.on_connecting(transmissions_[0].doc, transmissions_[0].transmission);
+  }
+
   void set_callbacks() {
+    number_ = ++owner_.last_connection_number_;
     ++owner_.connections_;
     stream_.on_connected = [this] {
       connect_timer_.clear();
@@ -228,6 +285,12 @@
       if (!transmissions_.empty()) owner_.on_write_deferred(transmissions_);
       return;
     }
+    // The store may have taken long. What arrived meanwhile is no answer to this call.
+    recorded_ = true;
+    stream_.read_now();
+    recorded_ = false;
+    if (transmissions_.empty()) return;
+    written_at_ = owner_.loop_.now();
     stream_.send(std::exchange(request_, {}));
   }
 
@@ -315,6 +378,7 @@
     if (transmissions_.empty()) return owner_.discard(*this);  // idle or draining for long enough
     if (stream_.state() == Stream::State::connecting) return abort(TransmissionResult::not_connected);
     if (finished_by_pending_input()) return;
+    if (unproven_may_end_call()) return believe_unproven();
     // No document is reported as ended while its call goes on: the endpoint might still run it, and the
     // answers for the other documents would be lost.
     abort(TransmissionResult::timed_out);
@@ -325,7 +389,10 @@
     outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
     outcome.result = result.result, outcome.completed = result.completed,
     outcome.exhausted = result.exhausted;
-    outcome.duration = owner_.loop_.now() - started_at_;
+    outcome.duration = (unproven_ ? unproven_at_ : owner_.loop_.now()) - started_at_;
+    if (!has_unwritten_bytes())
+      outcome.answer_time = (unproven_ ? unproven_at_ : owner_.loop_.now()) - written_at_;
+    outcome.unproven = unproven_, outcome.connection = number_, outcome.calls_before = history_.answers();
     outcome.retry_after = wait, outcome.hints = hints, outcome.connection_idle_time = connection_idle_time_,
     outcome.connection_closed = connection_closed_;
     outcome.never_written = has_unwritten_bytes() && result.result == TransmissionResult::not_sent;
@@ -336,7 +403,7 @@
   template <typename ResultOf>
   void finish_each(ResultOf result_of_item, Millis wait, const LoadHints& hints) {
     auto items = std::exchange(transmissions_, {});
-    timer_.clear(), connect_timer_.clear();
+    timer_.clear(), connect_timer_.clear(), belief_timer_.clear();
     for (const auto& item : items) finish_one(item, result_of_item(item), wait, hints);
   }
   void finish_all(CallResult result, Millis wait, const LoadHints& hints) {
@@ -344,8 +411,13 @@
   }
 
   void read(bool ended) {
-    if (transmissions_.empty() && !draining_)
-      return owner_.discard(*this);  // unexpected bytes or an end on an idle connection
+    while (read_answer(ended)) {}
+  }
+
+  // Reads one answer. Returns whether another one may follow in what was received.
+  bool read_answer(bool ended) {
+    if (transmissions_.empty() && !draining_) return read_unexpected(ended), false;
+    if (!draining_ && has_unwritten_bytes() && read_before_written(ended)) return false;
     auto answer = parse_response(stream_.received(), max_body_bytes, ended);
     using State = HttpResponse::State;
     bool partial = answer.state == State::partial && !ended, complete = answer.state == State::complete;
@@ -353,17 +425,235 @@
     // never end don't delay the outcome.
     bool is_decided = !is_batch_ && answer.status == 200;
     if (!complete && !draining_) report_wait_early(answer);
-    if (partial && (!is_decided || draining_)) return;
+    if (partial && (!is_decided || draining_)) return false;
     // Any other answer that cannot be read completely is ignored: its status line may be corrupt too.
-    if (!complete && !is_decided) return abort(TransmissionResult::connection_lost);
+    if (!complete && !is_decided) return abort(TransmissionResult::connection_lost), false;
+    if (!draining_ && history_.answers() > 0) {
+      if (partial) return await_proof(), false;
+      const auto proof = proof_of(answer);
+      if (proof == Proof::other_call) return drop_copy(answer), true;
+      if (complete && proof == Proof::none) return keep_unproven(answer), true;
+      if (!unproven_answer_.empty()) drop_unproven();
+    }
+    finish_answer(answer, partial, ended);
+    return false;
+  }
+
+  // The outcome of the call is reported by this answer, of which a part may be still to come.
+  void finish_answer(const HttpResponse& answer, bool partial, bool ended) {
     if (!std::exchange(draining_, partial)) process_response(answer);
     // An answer may stop short, and the endpoint counts such a call as running until its connection is
     // closed.
     if (partial) return timer_.set(owner_.loop_.now() + drain_timeout);
+    bool complete = answer.state == HttpResponse::State::complete;
     if (!complete || answer.closes_connection || ended || has_unwritten_bytes()) return owner_.discard(*this);
+    remember(stream_.received().substr(0, answer.size), answer);
     stream_.consume(answer.size);
-    if (!stream_.received().empty()) return owner_.discard(*this);
+    if (!stream_.received().empty()) return read_unexpected(false);
+    release();
+  }
+
+  void release() {
+    if (owner_.may_keep_connection(endpoint_, answers_alike_)) return owner_.release(*this);
+    if (!retire()) return owner_.discard(*this);
     owner_.release(*this);
+    timer_.set(last_deadline_);
+  }
+
+  void remember(std::string_view bytes, const HttpResponse& answer) {
+    const auto result = result_of(answer).result;
+    const bool refused = result == TransmissionResult::refused || result == TransmissionResult::not_sent;
+    history_.add(bytes, !unproven_, refused);
+    auto pool = owner_.pools_.find(endpoint_);
+    if (pool == owner_.pools_.end()) return;
+    answers_alike_ = pool->second.history.contains(bytes);
+    pool->second.history.add(bytes, true, refused);
+  }
+
+  // No call is out. An answer here was written by the endpoint more often than it was called, or tells that
+  // an earlier, unproven one was a copy.
+  void read_unexpected(bool ended) {
+    if (!stream_.received().empty()) {
+      auto answer = parse_response(stream_.received(), max_body_bytes, ended);
+      ++owner_.answer_counts_.unexpected;
+      log_answer("answer_unexpected", answer.status);
+      owner_.on_copied_answer(endpoint_);
+      if (const Millis wait = retry_after_of(answer); wait > 0) owner_.on_wait_told(endpoint_, wait);
+      if (answer.status == 200 && !delivered_unproven_.empty() && !ended) return listen_on(answer);
+      contradict_delivery(answer.status);
+    }
+    owner_.discard(*this);
+  }
+
+  // The call's own answer may still come behind several copies. The connection carries no other call.
+  void listen_on(const HttpResponse& answer) {
+    stream_.consume(answer.state == HttpResponse::State::complete ? answer.size : 0);
+    if (answer.state != HttpResponse::State::complete) return owner_.discard(*this);
+    retired_ = true;
+    if (!stream_.received().empty()) return read_unexpected(false);
+    owner_.release(*this);
+    timer_.set(last_deadline_);
+  }
+
+  // Reads what came before the whole request was written, while the call has surely not run. Returns false
+  // where it is handled as any answer: a refusal on a connection's first call.
+  bool read_before_written(bool ended) {
+    const bool nothing_written = !request_.empty(), has_answer = !stream_.received().empty();
+    auto answer = parse_response(stream_.received(), max_body_bytes, ended);
+    if (has_answer) {
+      ++owner_.answer_counts_.early;
+      log_answer("answer_before_call", answer.status);
+    }
+    if (nothing_written && history_.answers() > 0) return owner_.move_to_new_connection(*this), true;
+    if (!transmissions_.empty()) report_wait_early(answer);
+    if (answer.state == HttpResponse::State::partial && !ended) return true;
+    const auto result = result_of(answer).result;
+    const bool refused = answer.state == HttpResponse::State::complete &&
+                         (result == TransmissionResult::refused || result == TransmissionResult::not_sent);
+    if (refused && history_.answers() == 0) return false;
+    const bool out_of_step = has_answer && history_.answers() > 0;
+    return abort(out_of_step ? TransmissionResult::not_sent : TransmissionResult::connection_lost), true;
+  }
+
+  // ---- Which call an answer belongs to
+  //
+  // HTTP/1.1 tells it by the order alone, and an endpoint may write an answer twice. An answer is proved to
+  // be that of the call that is out where it is the first on its connection, or where all before it were
+  // proved and it repeats none of them: a copy has the same bytes. Any other one is kept until the time that
+  // the decision module gives it; an answer that follows by then takes its place.
+
+  enum class Proof { this_call, other_call, none };
+
+  Proof proof_of(const HttpResponse& answer) const {
+    const auto named = named_call(answer);
+    if (named == Proof::other_call) return named;
+    if (history_.contains(stream_.received().substr(0, answer.size))) return Proof::none;
+    return history_.in_step() ? Proof::this_call : named;
+  }
+
+  // What the answer itself says: one to several documents lists their ids, another one may repeat the id.
+  Proof named_call(const HttpResponse& answer) const {
+    auto is_ours = [&](std::string_view id) {
+      return std::ranges::any_of(transmissions_, [&](const auto& item) { return item.id == id; });
+    };
+    if (auto id = answer.header("Request-Id"); !is_batch_ && !id.empty())
+      return is_ours(id) ? Proof::this_call : Proof::other_call;
+    if (!is_batch_ || answer.status != 200) return Proof::none;
+    const auto listed = listed_results(answer);
+    if (listed.empty()) return Proof::none;
+    return std::ranges::any_of(listed, [&](const auto& one) { return is_ours(one.first); })
+               ? Proof::this_call
+               : Proof::other_call;
+  }
+
+  void drop_copy(const HttpResponse& answer) {
+    note_copy(answer.status);
+    stream_.consume(answer.size);
+  }
+
+  void drop_unproven() {
+    const auto answer = parse_response(unproven_answer_, max_body_bytes, false);
+    note_copy(answer.status);
+    unproven_answer_.clear();
+  }
+
+  void note_copy(int status) {
+    ++owner_.answer_counts_.copied;
+    log_answer("answer_copied", status);
+    owner_.on_copied_answer(endpoint_);
+    contradict_delivery(status);
+  }
+
+  void keep_unproven(const HttpResponse& answer) {
+    const bool is_second = !unproven_answer_.empty();
+    const TransmissionResult first = unproven_result();
+    if (is_second) drop_unproven();
+    if (is_second && first != result_of(answer).result) disputed_ = true;
+    unproven_answer_ = stream_.received().substr(0, answer.size);
+    unproven_at_ = owner_.loop_.now();
+    report_wait_early(answer);
+    stream_.consume(answer.size);
+    belief_timer_.set(believed_at());
+  }
+
+  // The first bytes of a 200: the rest may never come, and may prove it.
+  void await_proof() {
+    if (unproven_at_ < written_at_) unproven_at_ = owner_.loop_.now();
+    belief_timer_.set(believed_at());
+  }
+
+  // The result that the unproven answer gives, of which only the first bytes may have come.
+  TransmissionResult unproven_result() const {
+    if (unproven_answer_.empty()) return TransmissionResult::answered;
+    return result_of(parse_response(unproven_answer_, max_body_bytes, false)).result;
+  }
+
+  Millis believed_at() const {
+    const auto result = unproven_result();
+    Millis patience = 0;
+    for (const auto& item : transmissions_)
+      patience =
+          std::max(patience, owner_.believe_after({item.doc, item.transmission, unproven_at_ - written_at_,
+                                                   result == TransmissionResult::refused ||
+                                                       result == TransmissionResult::not_sent}));
+    return written_at_ + patience;
+  }
+
+  void on_belief_timer() {
+    const Millis at = believed_at();
+    if (at > owner_.loop_.now()) return belief_timer_.set(at);
+    // A further answer has begun to come.
+    if (!unproven_answer_.empty() && !stream_.received().empty()) return;
+    believe_unproven();
+  }
+
+  // At the end of the call's time a refusal that is not proved is no proof that the call never ran.
+  bool unproven_may_end_call() const {
+    if (unproven_answer_.empty() && (stream_.received().empty() || unproven_at_ < written_at_)) return false;
+    const auto result = unproven_result();
+    return result != TransmissionResult::refused && result != TransmissionResult::not_sent;
+  }
+
+  // No other answer has come in time.
+  void believe_unproven() {
+    if (transmissions_.empty() || finished_by_pending_input()) return;
+    ++owner_.answer_counts_.unproven;
+    unproven_ = true;
+    if (unproven_answer_.empty()) {
+      auto answer = parse_response(stream_.received(), max_body_bytes, false);
+      if (answer.status == 200) finish_answer(answer, true, false);
+      return;
+    }
+    const std::string bytes = std::exchange(unproven_answer_, {});
+    const auto answer = parse_response(bytes, max_body_bytes, false);
+    if (disputed_) return abort(TransmissionResult::connection_lost);
+    remember_delivered(answer);
+    process_response(answer);
+    remember(bytes, answer);
+    if (!stream_.received().empty()) return read_unexpected(false);
+    release();
+  }
+
+  void remember_delivered(const HttpResponse& answer) {
+    delivered_unproven_.clear();
+    last_deadline_ = std::ranges::min(transmissions_, {}, &InFlightTransmission::deadline).deadline;
+    if (answer.status == 200 && !is_batch_) delivered_unproven_ = transmissions_;
+  }
+
+  // One answer too many, and not a delivery: what was taken for delivered by an unproven answer may be
+  // refused.
+  void contradict_delivery(int status) {
+    for (const auto& item : std::exchange(delivered_unproven_, {}))
+      if (status != 200) owner_.on_delivery_contradicted(item.doc, item.id);
+  }
+
+  void log_answer(const char* event, int status) const {
+    log_line(
+        "event=%s endpoint=%llx connection=%llu calls_before=%d status=%d proved_before=%d "
+        "since_call_ms=%.1f message=%s",
+        event, 0ULL + static_cast<std::uint64_t>(endpoint_), 0ULL + number_, history_.answers(), status,
+        history_.in_step() ? 1 : 0, owner_.loop_.now() - started_at_,
+        transmissions_.empty() ? "none" : transmissions_[0].id.c_str());
   }
 
   void process_response(const HttpResponse& answer) {
@@ -375,12 +665,7 @@
     auto all = result_of(answer);
     connection_closed_ = answer.closes_connection;
     if (!is_batch_ || answer.status != 200) return finish_all(all, wait, hints);
-    auto states = nlohmann::json::parse(answer.body(), nullptr, false);
-    std::map<std::string, CallResult> results;
-    for (const auto& state : states.is_array() ? states : nlohmann::json::array())
-      if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
-          state["state"].is_string())
-        results[state["id"].get<std::string>()] = result_of(state["state"].get<std::string>());
+    const auto results = listed_results(answer);
     auto result_of_item = [&](const InFlightTransmission& item) {
       auto found = results.find(item.id);
       // A document missing from the answer may have run.
@@ -394,6 +679,18 @@
   const Address address_;
   Stream stream_;
   Timer timer_, connect_timer_;
+  Timer belief_timer_;  // when an unproven answer is believed
+  std::uint64_t number_ = 0;
+  AnswerHistory history_;
+  bool answers_alike_ = false;   // the last answer had the bytes of one to another call
+  std::string unproven_answer_;  // whole, and kept until another one follows or it is believed
+  Millis unproven_at_ = 0;       // when it, or the first bytes of one, came
+  bool unproven_ = false;        // the outcome of this call is taken from it
+  bool retired_ = false;         // carries no further call
+  Millis last_deadline_ = 0;     // of the last call
+  bool disputed_ = false;        // unproven answers to this call differ: it may have run
+  bool recorded_ = false;        // the store has this call as begun, and it is not written yet
+  std::vector<InFlightTransmission> delivered_unproven_;  // by the last unproven answer
   std::vector<InFlightTransmission> transmissions_;
   std::string request_;
   bool is_batch_ = false;
@@ -402,7 +699,7 @@
   bool wait_reported_ = false;      // of this call, before its answer was whole
   bool draining_ = false;           // the outcome is reported, the rest of the answer is still awaited
   bool preconnected_ = false, was_connected_ = false;  // preconnected_: not used by a call yet
-  Millis started_at_ = 0, idle_since_ = 0, connection_idle_time_ = 0;
+  Millis started_at_ = 0, written_at_ = 0, idle_since_ = 0, connection_idle_time_ = 0;
 };
 
 Endpoints::Endpoints(EventLoop& loop, const Limits& limits) : loop_(loop), limits_(limits) {}
@@ -424,25 +721,39 @@
   pool.address = address;
 }
 
+// Connected ones are preferred to those still connecting, and then those that fewer documents may use.
+std::unique_ptr<Endpoints::Connection> Endpoints::take_idle_connection(
+    EndpointId endpoint, const std::vector<OutboundTransmission>& transmissions) {
+  auto& idle = pools_.at(endpoint).idle;
+  auto fits = [&](const Connection& candidate) {
+    return !candidate.is_retired() && std::ranges::all_of(transmissions, [&](const auto& sent) {
+      return may_reuse_connection(endpoint, sent.doc, candidate.earlier_answers());
+    });
+  };
+  auto rank = [](const Connection& candidate) {
+    const EarlierAnswers earlier = candidate.earlier_answers();
+    return std::pair(candidate.connecting(), earlier.all_proved && !earlier.any_refusal);
+  };
+  while (true) {
+    auto best = idle.end();
+    for (auto at = idle.begin(); at != idle.end(); ++at)
+      if (fits(**at) && (best == idle.end() || rank(**at) < rank(**best))) best = at;
+    if (best == idle.end()) return nullptr;
+    auto candidate = std::move(*best);
+    idle.erase(best);
+    const bool kept = may_keep_connection(endpoint, candidate->answers_alike());
+    if (kept && candidate->usable() && loop_.now() - candidate->idle_since() <= max_idle_time)
+      return candidate;
+    if (!candidate->retire()) discard_idle(std::move(candidate));
+    else idle.push_back(std::move(candidate));
+  }
+}
+
 void Endpoints::call(EndpointId endpoint, const std::vector<OutboundTransmission>& transmissions) {
-  Pool& pool = pools_.at(endpoint);
-  std::unique_ptr<Connection> connection;
-  // Connected ones are preferred to those still connecting.
-  for (bool connecting : {false, true})
-    for (auto at = pool.idle.begin(); at != pool.idle.end() && !connection;) {
-      if ((*at)->connecting() != connecting) {
-        ++at;
-        continue;
-      }
-      auto candidate = std::move(*at);
-      at = pool.idle.erase(at);
-      if (candidate->usable() && loop_.now() - candidate->idle_since() <= max_idle_time)
-        connection = std::move(candidate);
-      else discard_idle(std::move(candidate));
-    }
+  auto connection = take_idle_connection(endpoint, transmissions);
   bool is_new = !connection;
   bool has_capacity = !is_new || ensure_capacity();
-  if (is_new) connection = std::make_unique<Connection>(*this, endpoint, pool.address);
+  if (is_new) connection = std::make_unique<Connection>(*this, endpoint, pools_.at(endpoint).address);
   Connection& used = *connection;
   active_[&used] = std::move(connection);
   for (const auto& sent : transmissions) in_flight_[{sent.doc, sent.transmission}] = &used;
@@ -472,6 +783,19 @@
   connection.on_idle(), connection.report_preconnect(PreconnectEvent::connected);
 }
 
+// The connection was found out of step with its calls before this one was written.
+void Endpoints::move_to_new_connection(Connection& connection) {
+  const EndpointId endpoint = connection.endpoint();
+  auto moved = std::make_unique<Connection>(*this, endpoint, pools_.at(endpoint).address);
+  Connection& used = *moved;
+  active_[&used] = std::move(moved);
+  for (const auto& item : connection.transmissions()) in_flight_[{item.doc, item.transmission}] = &used;
+  used.take_call(connection);
+  discard(connection);
+  if (used.lacks_descriptor()) used.abort(TransmissionResult::not_sent);
+  else if (used.failed_to_open()) used.abort(TransmissionResult::not_connected);
+}
+
 void Endpoints::discard_idle(std::unique_ptr<Connection> connection) {
   connection->on_discard();
   loop_.defer_delete(std::move(connection));
@@ -554,14 +878,19 @@
   auto found = pools_.find(endpoint);
   if (found == pools_.end()) return;
   auto& idle = found->second.idle;
-  while (!idle.empty() && loop_.now() - idle.back()->idle_since() >= min_idle) {
-    discard_idle(std::move(idle.back()));
-    idle.pop_back();
+  for (auto at = idle.begin(); at != idle.end();) {
+    if (loop_.now() - (*at)->idle_since() < min_idle || (*at)->retire()) {
+      ++at;
+      continue;
+    }
+    discard_idle(std::move(*at));
+    at = idle.erase(at);
   }
 }
 
 void Endpoints::remove(EndpointId endpoint) {
-  close_idle(endpoint);
+  if (auto found = pools_.find(endpoint); found != pools_.end())
+    for (auto& connection : found->second.idle) discard_idle(std::move(connection));
   pools_.erase(endpoint);
 }
 
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "decision/decision.h"
+#include "relay/answer_history.h"
 #include "relay/http.h"
 #include "relay/loop.h"
 
@@ -50,8 +51,12 @@
     Stream::Snapshot stream;
     std::vector<InFlightTransmission> transmissions;
     std::string request;  // not written yet
+    std::string unproven_answer;
+    Millis unproven_at = 0;
+    AnswerHistory::Snapshot history;
     bool is_batch = false, deferred = false, connection_closed = false, draining = false;
-    Millis started_at = 0, idle_since = 0, connection_idle_time = 0;
+    bool answers_alike = false;
+    Millis started_at = 0, written_at = 0, idle_since = 0, connection_idle_time = 0;
   };
   std::vector<ConnectionSnapshot> snapshot() const;
   void restore(const std::vector<ConnectionSnapshot>& snapshots);
@@ -69,6 +74,19 @@
   std::function<void(DocId, int)> on_connecting;
   // A refusal with this Retry-After has begun to arrive for the call of this transmission.
   std::function<void(DocId, int, Millis)> on_wait_told_early = [](DocId, int, Millis) {};
+  // How long after its call was written an unproven answer is believed.
+  std::function<Millis(const UnprovenAnswer&)> believe_after = [](const UnprovenAnswer&) { return 0; };
+  std::function<void(EndpointId)> on_copied_answer = [](EndpointId) {};
+  // A Retry-After in an answer that belongs to no call that is out.
+  std::function<void(EndpointId, Millis)> on_wait_told = [](EndpointId, Millis) {};
+  std::function<bool(EndpointId, bool answers_alike)> may_keep_connection = [](EndpointId, bool) {
+    return true;
+  };
+  std::function<bool(EndpointId, DocId, const EarlierAnswers&)> may_reuse_connection =
+      [](EndpointId, DocId, const EarlierAnswers&) { return true; };
+  // A document that was taken for delivered by an unproven answer may have been refused.
+  std::function<void(DocId, const std::string& id)> on_delivery_contradicted = [](DocId, const std::string&) {
+  };
   // Whether the call of this transmission may be written now. Asked with an up-to-date view: the owner calls
   // read_pending() first where its view is old.
   std::function<SendPermission(DocId, int)> may_write;
@@ -82,6 +100,14 @@
   // The call was not written after all, and waits.
   std::function<void(const std::vector<InFlightTransmission>&)> on_write_deferred =
       [](const std::vector<InFlightTransmission>&) {};
+  // Answers that were not simply the next one to the call that was out.
+  struct AnswerCounts {
+    std::uint64_t copied = 0;      // followed by the call's own answer, or naming another call
+    std::uint64_t unexpected = 0;  // no call was out
+    std::uint64_t early = 0;       // their call had not been written
+    std::uint64_t unproven = 0;    // believed without a proof
+  };
+  const AnswerCounts& answer_counts() const { return answer_counts_; }
   Millis max_idle_time = 0;  // set before each turn's calls: a connection idle for longer is not reused
 
   // Applies to connections opened or becoming idle from now on.
@@ -106,13 +132,17 @@
   struct Pool {
     Address address;
     std::list<std::unique_ptr<Connection>> idle;  // most recently used first
+    AnswerHistory history;                        // of all its connections
   };
 
   void release(Connection& connection);
   void discard(Connection& connection);
   bool ensure_capacity();
+  std::unique_ptr<Connection> take_idle_connection(EndpointId endpoint,
+                                                   const std::vector<OutboundTransmission>& transmissions);
   void discard_idle(std::unique_ptr<Connection> connection);
   void release_preconnected(Connection& connection);
+  void move_to_new_connection(Connection& connection);
 
   EventLoop& loop_;
   Limits limits_;
@@ -121,6 +151,8 @@
   std::map<std::pair<DocId, int>, Connection*> in_flight_;
   std::vector<std::pair<DocId, int>> deferred_;  // connected, and told to begin later
   std::size_t connections_ = 0;
+  std::uint64_t last_connection_number_ = 0;
+  AnswerCounts answer_counts_;
 };
 
 }  // namespace rockcrank
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -29,7 +29,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 1;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 2;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
@@ -86,6 +86,29 @@
     begin_turn();
     decision_->wait_told_early(doc, transmission, wait);
   };
+  endpoints_.believe_after = [this](const UnprovenAnswer& answer) {
+    begin_turn();
+    return decision_->believe_after(answer);
+  };
+  endpoints_.on_copied_answer = [this](EndpointId endpoint) {
+    begin_turn();
+    decision_->note_copied_answer(endpoint);
+  };
+  endpoints_.on_wait_told = [this](EndpointId endpoint, Millis wait) {
+    begin_turn();
+    decision_->wait_told(endpoint, wait);
+  };
+  endpoints_.may_keep_connection = [this](EndpointId endpoint, bool answers_alike) {
+    return decision_->may_keep_connection(endpoint, answers_alike);
+  };
+  endpoints_.may_reuse_connection = [this](EndpointId endpoint, DocId doc, const EarlierAnswers& earlier) {
+    return decision_->may_reuse_connection(endpoint, doc, earlier);
+  };
+  // A report on a document that is over does no harm, and one that is owed must not be missing.
+  endpoints_.on_delivery_contradicted = [this](DocId doc, const std::string& id) {
+    log_line("event=delivery_contradicted message=%s", id.c_str());
+    if (!fleet_) reports_.report(doc, id, false, 0);
+  };
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
     decision_->note_connecting(doc, transmission);
   };
@@ -345,10 +368,27 @@
     auto items = Json::array();
     for (const auto& item : one.transmissions)
       items.push_back(Json::array({item.doc, item.transmission, item.deadline, item.id}));
-    all["calls"].push_back(
-        Json::array({one.endpoint, one.address.host, one.address.port, stream(one.stream), items, one.request,
-                     one.is_batch, one.deferred, one.connection_closed, one.draining, one.started_at,
-                     one.idle_since, one.connection_idle_time}));
+    all["calls"].push_back(Json::array({one.endpoint,
+                                        one.address.host,
+                                        one.address.port,
+                                        stream(one.stream),
+                                        items,
+                                        one.request,
+                                        one.is_batch,
+                                        one.deferred,
+                                        one.connection_closed,
+                                        one.draining,
+                                        one.started_at,
+                                        one.written_at,
+                                        one.idle_since,
+                                        one.connection_idle_time,
+                                        one.unproven_answer,
+                                        one.unproven_at,
+                                        one.history.hashes,
+                                        one.history.answers,
+                                        one.history.in_step,
+                                        one.answers_alike,
+                                        one.history.has_refusal}));
   }
   Json::to_cbor(all, payload.state);
   return payload;
@@ -378,18 +418,20 @@
   clients_.restore(clients);
   std::vector<Endpoints::ConnectionSnapshot> calls;
   for (const auto& one : list("calls")) {
-    Endpoints::ConnectionSnapshot snapshot{one.at(0).get<EndpointId>(),
-                                           {one.at(1).get<std::string>(), one.at(2).get<int>()},
-                                           stream(one.at(3)),
-                                           {},
-                                           one.at(5).get<std::string>(),
-                                           one.at(6).get<bool>(),
-                                           one.at(7).get<bool>(),
-                                           one.at(8).get<bool>(),
-                                           one.at(9).get<bool>(),
-                                           one.at(10).get<double>(),
-                                           one.at(11).get<double>(),
-                                           one.at(12).get<double>()};
+    Endpoints::ConnectionSnapshot snapshot;
+    snapshot.endpoint = one.at(0).get<EndpointId>();
+    snapshot.address = {one.at(1).get<std::string>(), one.at(2).get<int>()};
+    snapshot.stream = stream(one.at(3));
+    snapshot.request = one.at(5).get<std::string>();
+    snapshot.is_batch = one.at(6).get<bool>(), snapshot.deferred = one.at(7).get<bool>();
+    snapshot.connection_closed = one.at(8).get<bool>(), snapshot.draining = one.at(9).get<bool>();
+    snapshot.started_at = one.at(10).get<double>(), snapshot.written_at = one.at(11).get<double>();
+    snapshot.idle_since = one.at(12).get<double>(), snapshot.connection_idle_time = one.at(13).get<double>();
+    snapshot.unproven_answer = one.at(14).get<std::string>(), snapshot.unproven_at = one.at(15).get<double>();
+    snapshot.history.hashes = one.at(16).get<std::vector<std::uint64_t>>();
+    snapshot.history.answers = one.at(17).get<int>(), snapshot.history.in_step = one.at(18).get<bool>();
+    snapshot.answers_alike = one.at(19).get<bool>();
+    snapshot.history.has_refusal = one.at(20).get<bool>();
     for (const auto& item : one.at(4))
       snapshot.transmissions.push_back({item.at(0).get<DocId>(), item.at(1).get<int>(),
                                         item.at(2).get<double>(), item.at(3).get<std::string>()});
@@ -801,6 +843,11 @@
     auto reason = static_cast<CloseReason>(i);
     add((std::string("clients_closed_") + name_of(reason)).c_str(), clients_.closed_count(reason));
   }
+  const auto& answers = endpoints_.answer_counts();
+  add("answers_copied", answers.copied);
+  add("answers_unexpected", answers.unexpected);
+  add("answers_before_call", answers.early);
+  add("answers_unproven", answers.unproven);
   add("views_refreshed", views_refreshed_);
   add("late_rounds", late_rounds_);
   add("latest_round_ms", static_cast<std::uint64_t>(latest_round_));
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "relay/endpoints.h"
@@ -323,6 +324,49 @@
   EXPECT_EQ(server_.request(0), "");
 }
 
+// A copy of the answer before that arrives while the store is written is not taken for the call's answer: the
+// call goes over a new connection.
+TEST_F(Calls, CopyArrivesWhileTheCallIsRecorded) {
+  leave_one_idle();
+  bool copied = false;
+  endpoints_.before_write = [&](EndpointId, const std::vector<Endpoints::InFlightTransmission>&) {
+    if (!std::exchange(copied, true)) server_.answer(0, answered);
+    return true;
+  };
+  call({{2, 1000}});
+  run_until([&] { return server_.has_request(1) || !outcomes_.empty(); });
+  EXPECT_TRUE(outcomes_.empty());
+  EXPECT_FALSE(server_.has_request(0, 2));
+  server_.answer(1, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(results(), Results{TransmissionResult::answered});
+}
+
+// The same while the call was told to begin later.
+TEST_F(Calls, CopyArrivesWhileTheCallIsDeferred) {
+  leave_one_idle();
+  may_write_ = SendPermission::later;
+  call({{2, 1000}});
+  server_.answer(0, answered);
+  run_until([&] { return server_.connections() == 2 || !outcomes_.empty(); });
+  EXPECT_TRUE(outcomes_.empty());
+  may_write_ = SendPermission::now;
+  run_until([&] { return endpoints_.resume_deferred(), server_.has_request(1); });
+  server_.answer(1, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(results(), Results{TransmissionResult::answered});
+  EXPECT_FALSE(server_.has_request(0, 2));
+}
+
+// A delivery that comes before the whole request was written is none: the call has not run.
+TEST_F(SlowReader, DeliveredBeforeTheRequestIsWritten) {
+  call({{1, 1000}}, std::string(8 << 20, 'x'));
+  run_until([&] { return server_.has_unread_bytes(0); });
+  server_.answer(0, answered);
+  run_until([&] { return !outcomes_.empty(); });
+  EXPECT_EQ(results(), Results{TransmissionResult::not_connected});
+}
+
 // A wait requested while the connection is being established prevents the call.
 TEST_F(Calls, RequestedWaitWhileConnecting) {
   call({{1, 1000}, {2, 1000}});
--- a/tests/fleet/component_stubs.h
+++ b/tests/fleet/component_stubs.h
@@ -20,6 +20,11 @@
   int turns = 0;
   void update_time(Millis) override {}
   void wait_told_early(DocId, int, Millis) override {}
+  Millis believe_after(const UnprovenAnswer&) override { return 0; }
+  void note_copied_answer(EndpointId) override {}
+  void wait_told(EndpointId, Millis) override {}
+  bool may_keep_connection(EndpointId, bool) override { return true; }
+  bool may_reuse_connection(EndpointId, DocId, const EarlierAnswers&) override { return true; }
   bool may_preconnect(EndpointId endpoint, int up) override {
     queries.emplace_back(endpoint, up);
     return allowed_endpoints.count(endpoint) > 0;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -422,8 +422,8 @@
     return true;
   }
 
-  // Writes the answer to the previous call of a connection once more, while the next call is out (copy_next) or
-  // after this call's own answer (copy).
+  // Writes the answer to the previous call of a connection once more, while the next call is out (copy_next)
+  // or after this call's own answer (copy).
   void write_copies(int fd, Connection& connection, const Options& options, double answered_at,
                     const std::string& answer) {
     const auto previous = std::exchange(connection.last_answer, answer);
@@ -552,7 +552,7 @@
     server.make_payload = [&](const std::string&) {
       HandoverPayload payload;
       payload.descriptors = {store_state.descriptor};
-      Json state{{"form", 1}, {"version", 1}, {"decision", "no state"}};
+      Json state{{"form", 2}, {"version", 1}, {"decision", "no state"}};
       state["store"] = {store_state.path,       store_state.snapshot,      0, store_state.last_doc_number,
                         store_state.file_bytes, store_state.rewrite_needed};
       Json::to_cbor(state, payload.state);
