Trial: endpoints and agent that write answers twice, under the faults of the soak for waits

Part copies: copies right behind an answer, while its connection is idle, and 0 to 100 ms after the next call; several, in pieces, of any status and of answers to several documents, and of the agent's 204 before a failed report; bodies alike or different.

--- a/src/trial/harness.cpp
+++ b/src/trial/harness.cpp
@@ -425,6 +425,7 @@
   while (Socket* sock = event_loop_.find(socket_id)) {
     if (!take_request(sock->in, head, body)) return;
     if (head.rfind("POST /reports ", 0) == 0) {
+      if (agent_fails_report(*sock)) continue;
       std::istringstream lines(body);
       for (std::string line; std::getline(lines, line);) {
         auto notice = Json::parse(line, nullptr, false);
@@ -434,6 +435,8 @@
         if (auto found = documents_.find(doc); found != documents_.end()) found->second.ended = true;
       }
       event_loop_.send(*sock, http("204 No Content", "", ""));
+      if (agent_copies_every_ > 0 && ++agent_acknowledgements_ % agent_copies_every_ == 0)
+        pending_copies_[socket_id] = {http("204 No Content", "", ""), {}}, agent_fails_next_ = true;
     } else if (head.rfind("GET /v1/servers?after=", 0) == 0) {
       auto version = std::stoll(head.substr(22));
       if (version < revision_) {
--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -54,6 +54,12 @@
   // during an outage); after= ms, wait= s, cut=1: closed before the body's end, times= N
   // calls before it answers 200 again.
   void set_endpoint(const std::string& name, const Options& how);
+  // The endpoint writes answers twice. every= N: each Nth answer; after= ms behind it, or next= ms behind the
+  // next call on its connection; times= further copies; pieces=1: one byte at a time; unique=1: each 200 has
+  // a body of its own. Empty: it stops.
+  void set_copies(const std::string& name, const Options& how) { endpoints_.at(name).copies = how; }
+  // The agent writes each Nth acknowledgement of reports twice, and fails the request after it. 0: it stops.
+  void set_agent_copies(int every) { agent_copies_every_ = every; }
   void set_listed_state(const std::string& name, const std::string& state);
   bool has_endpoint(const std::string& name) const { return endpoints_.count(name) > 0; }
 
@@ -122,11 +128,16 @@
     std::string name, zone, state = "Ready";
     int dest = 0, kind = 0;
     double rate = 1;
-    Options how;
+    Options how, copies;
     int times = -1;                                  // remaining calls that `how` applies to; negative: all
     std::map<std::string, std::uint64_t> listeners;  // by relay, which identifies the caller
     std::map<std::string, int> ports;
     bool failing = false;
+    int answers = 0;
+  };
+  struct PendingCopy {  // of an answer, written while the next call of its connection is out
+    std::string answer;
+    Options how;
   };
   struct Relay {
     std::string name, zone;
@@ -169,6 +180,9 @@
   void handle_call_data(const std::string& name, const std::string& relay_name, std::uint64_t socket_id);
   void handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock, const std::string& head,
                    const std::string& body, Millis started_at);
+  void copy_answer(Endpoint& endpoint, std::uint64_t socket_id, const std::string& answer);
+  void write_copy(std::uint64_t socket_id, const PendingCopy& copy, Millis delay);
+  bool agent_fails_report(Socket& sock);
   void open_proxy(const std::string& from, const std::string& to);
   void forward(const Pair& dialled, bool back, std::uint64_t in_id, std::uint64_t out_id);
   void handle_client_data(const std::string& relay_name, const std::string& client_name);
@@ -191,6 +205,10 @@
   std::map<std::uint64_t, std::int64_t> poll_versions_;
   std::map<std::uint64_t, std::set<std::string>> endpoint_sockets_;
   std::map<std::string, std::set<std::uint64_t>> connections_;  // by endpoint
+  std::map<std::uint64_t, PendingCopy> pending_copies_;         // by socket
+  std::map<std::uint64_t, Millis> last_piece_at_;               // of a copy in pieces, by socket
+  int agent_copies_every_ = 0, agent_acknowledgements_ = 0;
+  bool agent_fails_next_ = false;
   std::vector<pid_t> duplicates_;
   pid_t foreign_relay_ = -1;
   Log log_;
--- a/src/trial/wait_soak.cpp
+++ b/src/trial/wait_soak.cpp
@@ -30,12 +30,13 @@
 
 class WaitSoak {
  public:
-  WaitSoak(Harness& harness, double seconds)
+  WaitSoak(Harness& harness, double seconds, AnswerCopies copies)
       : names_(harness.relay_names()), duration_(seconds * 1000), random_(harness.setup().seed) {
     draw_refusals();
     draw_faults();
     draw_crowd();
     draw_load();
+    if (copies == AnswerCopies::drawn) draw_copies();
   }
   Schedule& schedule() { return schedule_; }
 
@@ -74,6 +75,27 @@
       });
   }
 
+  // Copies right behind an answer, while its connection is idle, and while the next call is out, of any
+  // answer.
+  void draw_copies() {
+    for (Millis at = 50; at < fault_end(); at += between(200, 1500)) {
+      const auto& endpoint = endpoints[below(static_cast<int>(std::size(endpoints)))];
+      Options how{{"every", std::to_string(1 + below(7))}};
+      if (below(3) == 0) how["after"] = decimal(between(0, 100));
+      else how["next"] = decimal(below(2) ? between(0, 10) : between(0, 100));
+      if (below(4) == 0) how["times"] = std::to_string(1 + below(3));
+      if (below(4) == 0) how["pieces"] = "1";
+      if (below(2)) how["unique"] = "1";
+      schedule_.add(
+          at, [how, name = std::string(endpoint.name)](Harness& harness) { harness.set_copies(name, how); });
+    }
+    schedule_.add(0, [every = 1 + below(5)](Harness& harness) { harness.set_agent_copies(every); });
+    schedule_.add(fault_end(), [](Harness& harness) {
+      harness.set_agent_copies(0);
+      for (const auto& endpoint : endpoints) harness.set_copies(endpoint.name, {});
+    });
+  }
+
   void draw_faults() {
     int count = static_cast<int>(faults_per_second * fault_end() / 1000);
     for (int i = 0; i < count; ++i) {
@@ -147,12 +169,12 @@
 
 void set_up_wait_soak(Setup& setup) { setup.fleet = setup.share = false; }
 
-std::string play_wait_soak(Harness& harness, double seconds) {
+std::string play_wait_soak(Harness& harness, double seconds, AnswerCopies copies) {
   for (const auto& endpoint : endpoints)
     harness.set_endpoint(endpoint.name, {{"for", endpoint.destination}, {"kind", endpoint.kind}});
   for (const auto& relay : harness.relay_names())
     if (!harness.start(relay, {})) return relay + " does not answer; its log:\n" + harness.process_log(relay);
-  WaitSoak soak(harness, seconds);
+  WaitSoak soak(harness, seconds, copies);
   soak.schedule().play(harness);
   for (const auto& relay : harness.relay_names()) {
     harness.resume(relay), harness.kill(relay);
--- a/src/trial/wait_soak.h
+++ b/src/trial/wait_soak.h
@@ -9,7 +9,9 @@
 namespace rockcrank::trial {
 
 void set_up_wait_soak(Setup& setup);
+// Whether endpoints and the agent also write answers twice.
+enum class AnswerCopies { none, drawn };
 // Returns what failed, or an empty string. The auditor judges the log.
-std::string play_wait_soak(Harness& harness, double seconds);
+std::string play_wait_soak(Harness& harness, double seconds, AnswerCopies copies);
 
 }  // namespace rockcrank::trial
