Keep no connection that carried a refusal where copies were seen; defer no call onto a connecting one

At an endpoint that copies answers, a refusal that looks like the one before on its connection would be held until its call's time is over, and count as one that may have run (read, not seen in service: two refusals within one interval of load hints have the same bytes). Such a connection is closed after a refusal, as one whose answers look alike. Bytes that are no answer at all (half a line) no longer mark an endpoint.

--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -211,7 +211,7 @@
   // The connection is up, or a call that was told to begin later may be written now.
   void resume() {
     // Asked before anything is recorded too, as a call may wait here for long.
-    if (!request_.empty() && may_begin()) record_and_write();
+    if (!request_.empty() && !connecting() && may_begin()) record_and_write();
   }
   // Reads an answer that has arrived. Before its request is written a connection has none.
   void read_pending() {
@@ -466,7 +466,8 @@
     history_.add(bytes, !unproven_, refused);
     auto pool = owner_.pools_.find(endpoint_);
     if (pool == owner_.pools_.end()) return;
-    answers_alike_ = pool->second.history.contains(bytes);
+    // A refusal has hardly anything of its own, so the next one may look like it.
+    answers_alike_ = refused || pool->second.history.contains(bytes);
     pool->second.history.add(bytes, true, refused);
   }
 
@@ -477,7 +478,7 @@
       auto answer = parse_response(stream_.received(), max_body_bytes, ended);
       ++owner_.answer_counts_.unexpected;
       log_answer("answer_unexpected", answer.status);
-      owner_.on_copied_answer(endpoint_);
+      if (answer.status > 0) owner_.on_copied_answer(endpoint_);
       if (const Millis wait = retry_after_of(answer); wait > 0) owner_.on_wait_told(endpoint_, wait);
       if (answer.status == 200 && !delivered_unproven_.empty() && !ended) return listen_on(answer);
       contradict_delivery(answer.status);
@@ -682,7 +683,7 @@
   Timer belief_timer_;  // when an unproven answer is believed
   std::uint64_t number_ = 0;
   AnswerHistory history_;
-  bool answers_alike_ = false;   // the last answer had the bytes of one to another call
+  bool answers_alike_ = false;   // the last answer had the bytes of one to another call, or may have
   std::string unproven_answer_;  // whole, and kept until another one follows or it is believed
   Millis unproven_at_ = 0;       // when it, or the first bytes of one, came
   bool unproven_ = false;        // the outcome of this call is taken from it
