--- a/src/decision/answer_proof.cpp
+++ b/src/decision/answer_proof.cpp
@@ -6,16 +6,16 @@
 
 namespace rockcrank::internal {
 
-// Where copies were seen lately, one that repeats an answer is not believed. Elsewhere one that came much
-// sooner than this endpoint answers is believed only after several times the longest of its recent answers,
-// any other once the endpoint has had its usual time. A refusal that is wrongly believed would send an unsafe
-// document twice, so it is always given the long time.
+// Where copies were seen lately, or deliveries always differ, one that repeats an answer is not believed.
+// Elsewhere one that came much sooner than this endpoint answers is believed only after several times the
+// longest of its recent answers, any other once the endpoint has had its usual time. A refusal that is
+// wrongly believed would send an unsafe document twice, so it is always given the long time.
 Millis Decider::believe_after(const UnprovenAnswer& answer) {
   auto found = in_flight_.find({answer.doc, answer.transmission});
   if (found == in_flight_.end()) return 0;
   Call& call = calls_[std::get<0>(found->second)];
   AnswerTimes& times = call.endpoint->answer_times;
-  if (copied_lately(*call.endpoint)) return never;
+  if (copied_lately(*call.endpoint) || answer.deliveries_differ) return never;
   const Millis usual = usual_duration(*call.route);
   Millis longest = times.longest(now_);
   if (longest <= 0) longest = 2 * usual;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -172,6 +172,8 @@
   int transmission = 0;
   Millis answer_time = 0;  // since the call was written
   bool never_ran = false;  // it says that the call never ran
+  // It says that the call was delivered, and no two deliveries at its endpoint had the same bytes so far.
+  bool deliveries_differ = false;
 };
 
 struct Transmit {
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -466,6 +466,10 @@
     history_.add(bytes, !unproven_, refused);
     auto pool = owner_.pools_.find(endpoint_);
     if (pool == owner_.pools_.end()) return;
+    if (answer.status == 200) {
+      ++pool->second.deliveries;
+      if (pool->second.history.contains(bytes)) pool->second.deliveries_differ = false;
+    }
     // A refusal has hardly anything of its own, so the next one may look like it.
     answers_alike_ = refused || pool->second.history.contains(bytes);
     pool->second.history.add(bytes, true, refused);
@@ -591,15 +595,24 @@
 
   Millis believed_at() const {
     const auto result = unproven_result();
+    const bool is_delivery = result == TransmissionResult::answered && !unproven_answer_.empty();
     Millis patience = 0;
     for (const auto& item : transmissions_)
       patience =
           std::max(patience, owner_.believe_after({item.doc, item.transmission, unproven_at_ - written_at_,
                                                    result == TransmissionResult::refused ||
-                                                       result == TransmissionResult::not_sent}));
+                                                       result == TransmissionResult::not_sent,
+                                                   is_delivery && deliveries_differ()}));
     return written_at_ + patience;
   }
 
+  bool deliveries_differ() const {
+    constexpr int min_deliveries = 2;
+    auto pool = owner_.pools_.find(endpoint_);
+    return pool != owner_.pools_.end() && pool->second.deliveries >= min_deliveries &&
+           pool->second.deliveries_differ;
+  }
+
   void on_belief_timer() {
     const Millis at = believed_at();
     if (at > owner_.loop_.now()) return belief_timer_.set(at);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -133,6 +133,8 @@
     Address address;
     std::list<std::unique_ptr<Connection>> idle;  // most recently used first
     AnswerHistory history;                        // of all its connections
+    int deliveries = 0;                           // answers with status 200
+    bool deliveries_differ = true;                // no two of them had the same bytes
   };
 
   void release(Connection& connection);
