--- a/review/common/stand_in.h
+++ b/review/common/stand_in.h
@@ -92,8 +92,10 @@
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0), on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto address = at(port);
-    if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 512) != 0)
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 512) != 0) {
+      ::close(fd);
       throw CannotRun("cannot listen on a loopback port");
+    }
     socklen_t size = sizeof address;
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     bound = ntohs(address.sin_port);
@@ -461,11 +463,18 @@
   return "*5\r\n" + bulk("ENQUEUE") + bulk(key) + bulk(id) + bulk(list) + bulk(body);
 }
 
-// A free loopback port for a program that binds it later.
+// A free loopback port for a program that binds it later: below those that the system gives to connections.
 inline int free_port() {
-  int bound = 0;
-  ::close(Loop::listening(0, bound));
-  return bound;
+  static int next = 12000 + static_cast<int>(getpid()) * 17 % 18000;
+  for (int tries = 0; tries < 2000; ++tries) {
+    int bound = 0;
+    next = next >= 30000 ? 12000 : next + 1;
+    try {
+      ::close(Loop::listening(next, bound));
+      return bound;
+    } catch (const CannotRun&) {}
+  }
+  throw CannotRun("no free loopback port");
 }
 
 inline std::string make_folder() {
