--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -41,7 +41,7 @@
     Socket& socket = loop.connect(port);
     const int id = socket.id;
     auto order = std::make_shared<std::vector<std::string>>();
-    auto answered = std::make_shared<std::size_t>(0), before = std::make_shared<std::size_t>(0);
+    auto answered = std::make_shared<std::size_t>(0);
     std::string bytes;
     for (int i = 0; i < count; ++i) {
       char name[40];
@@ -61,17 +61,11 @@
     };
     record.line("client %s: sends %d commands (%08x00000000 and following)", who, count, number);
     loop.send(id, bytes);
-    auto watch = std::make_shared<std::function<void()>>();
-    *watch = [&, id, order, answered, before, watch, who, number] {
-      if (*answered == order->size() || *answered == *before || !loop.find(id)) {
-        record.line("client %s: %zu answers to %zu commands (%08x...), closes", who, *answered, order->size(), number);
-        ++closed_batches;
-        return loop.close(id);
-      }
-      *before = *answered;
-      loop.after(400, *watch);
-    };
-    loop.after(400, *watch);
+    loop.after(400, [&, id, order, answered, who, number] {
+      record.line("client %s: %zu answers to %zu commands (%08x...), closes", who, *answered, order->size(), number);
+      ++closed_batches;
+      loop.close(id);
+    });
   };
 
   auto is_lost = [&](const std::string& id, const Document& document) {
