Log on both sides of a handover what the state holds: documents, commands, calls

Change: event=handover_state of the old and of the new process (src/relay/handover_counts.h): documents in the store, those without a record, those that ended, documents of the decision module, commands without an answer, unread bytes, clients, calls.

--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -95,6 +95,7 @@
   bool has_capacity() const override {
     return settings_.max_documents == 0 || static_cast<int>(docs_.size()) < settings_.max_documents;
   }
+  std::size_t document_count() const override { return docs_.size(); }
   bool has_destination(DestinationId id) const override;
   Millis retry_after(DestinationId id) override;
   void note_connecting(DocId doc, int transmission) override;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -303,6 +303,7 @@
   virtual Actions decide() = 0;
 
   virtual bool has_capacity() const = 0;  // for one more document
+  virtual std::size_t document_count() const = 0;
   // A destination that has endpoints, or had some recently.
   virtual bool has_destination(DestinationId destination) const = 0;
   // For a document that is not accepted; 0: the client gets none.
--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -80,6 +80,8 @@
   }
   bool is_between_commands() const { return has_sent_command() && !closing_ && is_idle(); }
   Millis last_used_at() const { return last_used_at_; }
+  std::size_t unanswered_commands() const { return replies_.size(); }
+  std::size_t unread_bytes() const { return stream_.received().size(); }
   bool has_sent_command() const { return first_command_ > 0; }
   // No reply is pending, and no unread bytes have arrived.
   bool can_be_closed() const { return is_idle() && (closing_ || stream_.has_no_pending_input()); }
@@ -238,6 +240,18 @@
   return all;
 }
 
+std::size_t Clients::unanswered_commands() const {
+  std::size_t total = 0;
+  for (const auto& [number, client] : clients_) total += client->unanswered_commands();
+  return total;
+}
+
+std::size_t Clients::unread_bytes() const {
+  std::size_t total = 0;
+  for (const auto& [number, client] : clients_) total += client->unread_bytes();
+  return total;
+}
+
 void Clients::restore(const std::vector<ConnectionSnapshot>& snapshots) {
   for (const auto& one : snapshots) {
     auto number = ++last_client_;
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -66,6 +66,8 @@
   void restore(const std::vector<ConnectionSnapshot>& snapshots);
   void resume_reading();  // of commands already received
   std::size_t size() const { return clients_.size(); }
+  std::size_t unanswered_commands() const;
+  std::size_t unread_bytes() const;  // received and not parsed yet
   std::uint64_t closed_count(CloseReason reason) const {
     return closed_counts_[static_cast<std::size_t>(reason)];
   }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -391,9 +391,25 @@
                                         one.history.has_refusal}));
   }
   Json::to_cbor(all, payload.state);
+  log_line("event=handover_state side=old %s", handover_counts().text().c_str());
   return payload;
 }
 
+HandoverCounts Relay::handover_counts() {
+  HandoverCounts counts;
+  counts.documents = store_.documents().size();
+  for (const auto& [doc, stored] : store_.documents()) {
+    if (!stored.journaled) ++counts.unrecorded;
+    if (stored.ended) ++counts.ended;
+  }
+  counts.undelivered = decision_->document_count();
+  counts.unanswered_commands = clients_.unanswered_commands();
+  counts.unread_bytes = clients_.unread_bytes();
+  counts.clients = clients_.size();
+  counts.calls = endpoints_.calls_in_flight();
+  return counts;
+}
+
 void Relay::take_over(const Json& state, HandoverPayload& payload) {
   decision_->import_state(state.at("decision").get<std::string>());
   list_version_ = state.at("version").get<std::int64_t>();
@@ -439,6 +455,7 @@
   }
   endpoints_.restore(calls);
   taken_over_ = true;
+  log_line("event=handover_state side=new %s", handover_counts().text().c_str());
 }
 
 void Relay::apply_endpoint_list(const EndpointListUpdate& list) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -20,6 +20,7 @@
 #include "relay/discovery.h"
 #include "relay/endpoints.h"
 #include "relay/handover.h"
+#include "relay/handover_counts.h"
 #include "relay/loop.h"
 #include "relay/route_state_store.h"
 #include "relay/store.h"
@@ -48,6 +49,7 @@
         HandoverPayload* payload, bool gossip_enabled);
   void take_over(const nlohmann::json& state, HandoverPayload& payload);
   std::optional<HandoverPayload> make_handover_payload(const std::string& numbering);
+  HandoverCounts handover_counts();
   void adopt_orphaned_documents();
   void resume_document(DocId doc);  // delivers it, or repeats the notice of its end
   Document to_document(const StoredDocument& stored, DocId doc, Millis wall) const;
--- a/tests/fleet/component_stubs.h
+++ b/tests/fleet/component_stubs.h
@@ -45,6 +45,7 @@
   void begin_shutdown(Millis) override {}
   Actions decide() override { return {}; }
   bool has_capacity() const override { return true; }
+  std::size_t document_count() const override { return 0; }
   bool has_destination(DestinationId) const override { return true; }
   Millis retry_after(DestinationId) override { return 0; }
   void note_connecting(DocId, int) override {}
