--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -96,18 +96,27 @@
     replies_[command - first_command_] = text;
     flush_replies();
     if (closing_) return finish();
-    resume_reading();
+    if (can_resume()) owner_.schedule_resume();
     if (input_ended_) return close_if_idle();
     if (is_between_commands()) owner_.evict_excess_idle();
   }
 
-  // Closes only between commands: one that has arrived in part is still answered if the rest can come.
+  // Closes only between commands: one that has arrived in part is still answered if the rest can come, and so
+  // are those that arrived before reading was paused.
   void close_if_idle() {
-    if (!replies_.empty()) return;
+    if (!replies_.empty() || has_unread_commands()) return;
     if (input_ended_) finish();
     else if (stream_.received().empty() && stream_.has_no_pending_input()) finish(CloseReason::shutdown);
   }
 
+  // Reads on where replies made room since reading was paused.
+  void resume_reading() {
+    if (!can_resume()) return;
+    reading_ = true;
+    stream_.enable_reading(!input_ended_);
+    read();
+  }
+
   // Called at the end of this process. A partly received command never ran, so the client may send it to
   // another relay.
   void close_now() {
@@ -152,19 +161,18 @@
       return owner_.remove(number_);
     }
     if (!replies_.empty()) return timer_.set(owner_.loop_.now() + close_timeout);
+    if (can_resume()) {
+      timer_.set(owner_.loop_.now() + command_timeout);
+      return resume_reading();
+    }
     if (has_sent_command() && stream_.received().empty()) return;  // idle: closed only by eviction
     if (stream_.received().empty()) return finish(CloseReason::no_command);
     replies_.emplace_back("-ERR incomplete command\r\n");
     finish(CloseReason::incomplete_command);
   }
 
-  void resume_reading() {
-    if (reading_ || closing_ || must_pause()) return;
-    reading_ = true;
-    stream_.enable_reading(!input_ended_);
-    read();
-  }
-
+  bool can_resume() const { return !reading_ && !closing_ && !must_pause(); }
+  bool has_unread_commands() const { return !reading_ && !stream_.received().empty(); }
   bool must_pause() const {
     return replies_.size() >= max_pending_replies || stream_.unsent_bytes() >= max_unsent_bytes;
   }
@@ -204,7 +212,7 @@
     }
     flush_replies();
     if (!closing_ && before != first_command_ + replies_.size()) timer_.set(last_used_at_ + command_timeout);
-    if (owner_.closing_) return close_if_idle();
+    if (owner_.closing_ || input_ended_) return close_if_idle();
     if (is_between_commands()) owner_.evict_excess_idle();
   }
 
@@ -228,7 +236,10 @@
 };
 
 Clients::Clients(EventLoop& loop, const Address& at, int passed_socket, const Limits& limits)
-    : loop_(loop), limits_(limits), full_timer_(loop, [this] { evict_or_pause(); }) {
+    : loop_(loop),
+      limits_(limits),
+      full_timer_(loop, [this] { evict_or_pause(); }),
+      resume_timer_(loop, [this] { resume_paused(); }) {
   auto accept = [this](int fd) { on_accept(fd); };
   listener_ = passed_socket >= 0 ? std::make_unique<Listener>(loop_, passed_socket, accept)
                                  : std::make_unique<Listener>(loop_, at, accept);
@@ -272,6 +283,14 @@
   for_each([](Client& client) { client.resume(); });
 }
 
+// A reply reads no further commands itself: the turn that gives it has recorded its documents by then, so a
+// command read in it would have neither a record nor a reply when the turn ends.
+void Clients::schedule_resume() { resume_timer_.set(loop_.now()); }
+
+void Clients::resume_paused() {
+  for_each([](Client& client) { client.resume_reading(); });
+}
+
 void Clients::close_idle() {
   for_each([](Client& client) {
     if (client.has_sent_command() && client.can_be_closed()) client.close_to_free_descriptor();
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -84,6 +84,8 @@
   void record_close(CloseReason reason, std::uint64_t number, std::size_t unanswered);
   void evict_or_pause();
   void evict_excess_idle();
+  void schedule_resume();
+  void resume_paused();
 
   EventLoop& loop_;
   const Limits limits_;
@@ -93,6 +95,7 @@
   std::array<std::uint64_t, close_reason_count> closed_counts_{};
   std::unique_ptr<Listener> listener_;
   Timer full_timer_;
+  Timer resume_timer_;  // for connections whose reading is paused and may go on
 };
 
 }  // namespace rockcrank
