Hand over only when no turn is open, so that the file has what the last turn changed

Callers saw: a document that must not be repeated was delivered, and after a later kill its sender got "undeliverable" (one that may be repeated is sent again). Cause: before a call is written, answers that have arrived meanwhile are read (Relay::refresh_view). In the turn that a handover ends, such an answer removed its document from the store's memory after the turn had written its records, and opened the next turn. The state was taken all the same: the queued removal belonged to the old process and was written by neither.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -330,6 +330,18 @@
   log_line("%s starts sending: the previous process has ended", config_.name.c_str());
 }
 
+// Ends turns until none is open. What a turn sends can bring in answers that have arrived meanwhile, and
+// these open the next turn: its records are not written yet, nor its decisions carried out. False: they keep
+// coming.
+bool Relay::end_open_turns() {
+  constexpr int max_turns = 8;
+  for (int turns = 0; turns < max_turns; ++turns) {
+    end_turn();
+    if (!turn_open_) return true;
+  }
+  return false;
+}
+
 // The whole state of this process, taken between two turns so that each command received is answered.
 std::optional<HandoverPayload> Relay::make_handover_payload(const std::string& numbering) {
   // If kinds and zones are numbered differently there, the numbers in the state would mean others.
@@ -337,7 +349,7 @@
     return log_line("handover refused: kinds or zones differ"), std::nullopt;
   // Leases and copies belong to this incarnation; the next process starts as after a restart.
   if (fleet_) return log_line("handover refused: a member of a fleet has to restart"), std::nullopt;
-  end_turn();
+  if (!end_open_turns()) return log_line("handover refused: answers keep arriving"), std::nullopt;
   begin_turn();
   // Both processes hold the connections for a moment, and they share the limit on descriptors.
   if (2 * (clients_.size() + endpoints_.connections()) >
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -49,6 +49,7 @@
         HandoverPayload* payload, bool gossip_enabled);
   void take_over(const nlohmann::json& state, HandoverPayload& payload);
   std::optional<HandoverPayload> make_handover_payload(const std::string& numbering);
+  bool end_open_turns();
   HandoverCounts handover_counts();
   void adopt_orphaned_documents();
   void resume_document(DocId doc);  // delivers it, or repeats the notice of its end
