A handover with records that could not be written has the successor write them

Callers would have seen: a document that was delivered while the disk was full is sent again, or ends twice, after a handover and a kill. Cause: Store::handover_state() gives on the documents as in memory, and the file. Records that are queued and not written (a compaction for want of room failed, or a flush was put off after failures) are in neither. Change: with anything queued the successor is told to rewrite the file, which it does from the documents with its first flush. Test: StoreHandover.QueuedRecordsOfTheOldProcessAreWrittenByItsSuccessor, failed before (the removed document is there again), passes now. With real processes it was not shown: it needs a disk that fails just before a handover.

--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -261,7 +261,9 @@
 }
 
 Store::HandoverState Store::handover_state() const {
-  return {path_, snapshot(), fd_, last_doc_number_, file_bytes_, rewrite_needed_};
+  // What is queued stays here, so the file lacks it until the successor has rewritten it from the snapshot.
+  const bool rewrite_needed = rewrite_needed_ || !pending_.empty();
+  return {path_, snapshot(), fd_, last_doc_number_, file_bytes_, rewrite_needed};
 }
 
 bool Store::has_owner(const std::string& folder) {
