Refuse each command that has arrived when a shutdown's time for replies ends, and not one a client

Callers saw: at a planned end a client with many commands under way got one -BUSY and the end of its connection; commands that the relay had read, and those behind them in the socket, stayed without an answer. Cause: Clients::close_now() took what was in a connection's buffer for part of one command. Where reading was paused the buffer has hundreds of whole ones. Test: term_pipelined_at_bound.relay (601 commands under way at the end of that time).

--- a/src/relay/clients.cpp
+++ b/src/relay/clients.cpp
@@ -23,6 +23,7 @@
 constexpr Millis command_timeout = 2000;  // set by the platform: for a connection to send a whole command
 constexpr Millis close_timeout = 1000;    // for the client to close, after the last reply
 constexpr std::size_t max_pending_replies = 128;  // of one client
+constexpr const char* refusal = "-BUSY\r\n";
 
 bool equals_ignoring_case(std::string_view word, std::string_view name) {
   return word.size() == name.size() && std::equal(word.begin(), word.end(), name.begin(), [](char a, char b) {
@@ -117,11 +118,14 @@
     read();
   }
 
-  // Called at the end of this process. A partly received command never ran, so the client may send it to
-  // another relay.
+  // Called at the end of this process. Commands that have arrived and were not accepted yet, the last one
+  // perhaps in part, never ran, so the client may send them to another relay.
   void close_now() {
     if (closing_) return;
-    if (!stream_.received().empty()) replies_.emplace_back("-BUSY\r\n");
+    refusing_ = true;
+    read_arrived();
+    if (closing_ || stream_.state() != Stream::State::connected) return;
+    if (!stream_.received().empty()) replies_.emplace_back(refusal);
     finish(CloseReason::shutdown);
   }
 
@@ -187,6 +191,16 @@
     if (!out.empty()) stream_.send(out);
   }
 
+  // Reads what has arrived, also where reading was paused.
+  void read_arrived() {
+    constexpr int max_reads = 8;  // what a client sends meanwhile could go on for ever
+    reading_ = true;
+    stream_.enable_reading(!input_ended_);
+    read();
+    for (int reads = 0; reads < max_reads && !closing_ && !stream_.has_no_pending_input(); ++reads)
+      stream_.read_now();
+  }
+
   void read() {
     last_used_at_ = owner_.loop_.now();
     auto before = first_command_ + replies_.size();
@@ -194,7 +208,7 @@
       // Hundreds of commands may arrive at once and be answered immediately; their replies are sent before
       // reading is paused.
       flush_replies();
-      if (must_pause()) {
+      if (must_pause() && !refusing_) {
         reading_ = false;
         timer_.set(last_used_at_ + command_timeout);
         return stream_.enable_reading(false);
@@ -222,6 +236,7 @@
     if (equals_ignoring_case(arguments[0], "PING")) return reply("+PONG\r\n");
     if (!equals_ignoring_case(arguments[0], "ENQUEUE")) return reply("-ERR unknown command\r\n");
     if (arguments.size() != 5) return reply("-ERR ENQUEUE takes key, id, list and body\r\n");
+    if (refusing_) return reply(refusal);
     owner_.on_enqueue({arguments[1], arguments[2], arguments[3], arguments[4]}, {number_, number});
   }
 
@@ -232,6 +247,7 @@
   std::deque<std::string> replies_;  // in command order; empty: not given yet
   std::uint64_t first_command_ = 0;  // command number of replies_.front()
   bool reading_ = true, closing_ = false, input_ended_ = false;
+  bool refusing_ = false;  // documents are no longer accepted
   Millis last_used_at_ = 0;
 };
 
--- a/src/relay/clients.h
+++ b/src/relay/clients.h
@@ -73,7 +73,7 @@
   }
   void close_idle();           // closes every connection that can be closed between commands
   void close_after_replies();  // each connection once it has no pending replies
-  void close_now();            // each connection; a partly received command is answered -BUSY
+  void close_now();            // each connection; what has arrived and was not accepted is answered -BUSY
 
  private:
   class Client;
