--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -909,6 +909,11 @@
       };
     else if (expectation == "heard")
       count = [&] { return connections_[client_socket(arguments.at(2))].input.size(); };
+    else if (expectation == "answers")
+      count = [&] {
+        const std::string& input = connections_[client_socket(arguments.at(2))].input;
+        return static_cast<std::size_t>(std::count(input.begin(), input.end(), '\n'));
+      };
     else if (expectation == "reset")
       count = [&] {
         pollfd polled{client_socket(arguments.at(2)), 0, 0};
