After a handover tell an end once it is recorded, as without one

Callers would have seen: a document's end is told, and after a kill the document is sent again or ends once more. Cause: an end that could not be recorded for want of room waits in Relay::unreported_ends_, which is not handed over; the successor reported each document that has ended at once (resume_document), while its file still had the document as one to be sent. Change: after a handover the successor puts them where they wait for the record, in the turn that its start ends. Test: replace_unrecorded_end.relay (an end while writes fail, a handover, a kill).

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -317,7 +317,9 @@
     ended.ended = true;
     decision_->accept(ended);
   }
-  reports_.report(doc, stored.id, stored.rejected, stored.reject_retry_after);
+  // The process before may have handed over an end that it could not record.
+  if (taken_over_) unreported_ends_[doc] = {stored.rejected, stored.reject_retry_after};
+  else reports_.report(doc, stored.id, stored.rejected, stored.reject_retry_after);
 }
 
 // Resumes the documents of a process that has ended without a handover, as after a restart.
