Refuse a handover whose state is not whole: the old process goes on, and nothing is lost

Change: HandoverCounts::is_whole(), asked before the state is sent and after it is restored: each document is in the store, in its file and in the module or over, each command read has its reply. Test: HandoverCounts.StateThatLacksADocumentOrAReplyIsNotWhole.

--- a/src/relay/handover_counts.h
+++ b/src/relay/handover_counts.h
@@ -17,6 +17,12 @@
   std::size_t clients = 0;
   std::size_t calls = 0;
 
+  // Each document is in the store, in its file and in the decision module or over, and each command read has
+  // its reply. What is not so would be lost, or held for good.
+  bool is_whole() const {
+    return unrecorded == 0 && unanswered_commands == 0 && undelivered + ended == documents;
+  }
+
   std::string text() const {
     std::string all;
     auto add = [&](const char* name, std::size_t value) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -353,6 +353,9 @@
   if (fleet_) return log_line("handover refused: a member of a fleet has to restart"), std::nullopt;
   if (!end_open_turns()) return log_line("handover refused: answers keep arriving"), std::nullopt;
   begin_turn();
+  const HandoverCounts counts = handover_counts();
+  if (!counts.is_whole())
+    return log_line("handover refused: the state is not whole: %s", counts.text().c_str()), std::nullopt;
   // Both processes hold the connections for a moment, and they share the limit on descriptors.
   if (2 * (clients_.size() + endpoints_.connections()) >
       config_.max_client_connections + config_.max_endpoint_connections)
@@ -405,7 +408,7 @@
                                         one.history.has_refusal}));
   }
   Json::to_cbor(all, payload.state);
-  log_line("event=handover_state side=old %s", handover_counts().text().c_str());
+  log_line("event=handover_state side=old %s", counts.text().c_str());
   return payload;
 }
 
@@ -469,7 +472,9 @@
   }
   endpoints_.restore(calls);
   taken_over_ = true;
-  log_line("event=handover_state side=new %s", handover_counts().text().c_str());
+  const HandoverCounts counts = handover_counts();
+  log_line("event=handover_state side=new %s", counts.text().c_str());
+  if (!counts.is_whole()) throw std::runtime_error("the handover state is not whole");
 }
 
 void Relay::apply_endpoint_list(const EndpointListUpdate& list) {
