Write what a half-closed client has not read yet, instead of closing over it

Callers saw: a client that shuts down its sending side behind its commands and reads slowly lost answers, +OK among them: 13 of 1,200 arrived. Cause: Stream::close_gracefully() enables reading again to drop further input. Where the end of the input had been read already, it was read once more and taken for the end of the connection, with bytes still unsent. Change: while bytes are unsent, that end waits until they are written (Stream::await_flush); a client that does not read is closed after 1 s, as before. Tests: PipelinedClients.HalfClosedClientThatReadsSlowlyHearsEachAnswer and ...WithUnreadAnswersHearsEachAnswer failed before (13 of 1,200 and 1,584 of 2,892 answers), pass now.

--- a/src/relay/loop.cpp
+++ b/src/relay/loop.cpp
@@ -302,6 +302,7 @@
       // What came before the end is still handed on; the callback may close this stream.
       if (any && on_data) on_data();
       if (fd_ < 0) return;
+      if (count == 0 && closing_gracefully_ && !output_.empty()) return await_flush();
       if (count < 0 || !on_half_close) return handle_close();
       enable_reading(false);
       return on_half_close();
@@ -324,7 +325,16 @@
 // close() with unread input would reset the connection and could lose the response just sent, so only sending
 // is shut down; further input is read and dropped.
 void Stream::shutdown_write_when_flushed() {
-  if (closing_gracefully_ && output_.empty() && fd_ >= 0) shutdown(fd_, SHUT_WR);
+  if (!closing_gracefully_ || !output_.empty() || fd_ < 0) return;
+  shutdown(fd_, SHUT_WR);
+  if (std::exchange(awaiting_flush_, false)) enable_reading(true);
+}
+
+// The peer has shut down its sending side and may still read what is not written yet. The end of its input is
+// read once more after that.
+void Stream::await_flush() {
+  awaiting_flush_ = true;
+  enable_reading(false);
 }
 
 void Stream::handle_close() {
--- a/src/relay/loop.h
+++ b/src/relay/loop.h
@@ -138,6 +138,7 @@
   void read_available();
   bool flush();
   void shutdown_write_when_flushed();
+  void await_flush();
   void handle_close();
   void update_events();
 
@@ -145,6 +146,7 @@
   int fd_ = -1;
   State state_ = State::connecting;
   bool out_of_resources_ = false, reading_ = true, closing_gracefully_ = false;
+  bool awaiting_flush_ = false;
   std::string input_, output_;
   std::size_t consumed_ = 0;
 };
