--- a/tests/crossings/store_handover_test.cpp
+++ b/tests/crossings/store_handover_test.cpp
@@ -1,29 +1,14 @@
 // The store of a replaced process: what its successor's file has after the successor was killed.
 #include <fcntl.h>
-#include <gtest/gtest.h>
-#include <unistd.h>
 
-#include <filesystem>
-#include <string>
-
-#include "relay/store.h"
+#include "../store_test.h"
 
 namespace rockcrank {
 namespace {
 
-class StoreHandover : public testing::Test {
+class StoreHandover : public StoreTest {
  protected:
   static constexpr std::size_t max_bytes = 1 << 20;
-  void SetUp() override {
-    folder_ = testing::TempDir() + "store-handover-" + std::to_string(::getpid());
-    std::filesystem::remove_all(folder_);
-  }
-  void TearDown() override { std::filesystem::remove_all(folder_); }
-  static StoredDocument document(const std::string& id) {
-    StoredDocument held;
-    held.id = id, held.body = "body", held.doc_type = "plain", held.max_transmissions = 3, held.expiry = 1e15;
-    return held;
-  }
   // Takes over from the old process as it is now, writes what there is to write, and is killed.
   void take_over_and_end(const Store& old) {
     auto state = old.handover_state();
@@ -31,7 +16,6 @@
     Store successor(folder_, max_bytes, state);
     ASSERT_TRUE(successor.flush());
   }
-  std::string folder_;
 };
 
 // A delivered document was sent again after a kill: its removal was queued, and the disk full, at the
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -1,31 +1,14 @@
 // What custody needs of the store: fleet ids, metadata and the last document number survive a restart and a
 // compaction.
 
-#include <gtest/gtest.h>
-#include <unistd.h>
-
-#include <filesystem>
 #include <string>
 
-#include "relay/store.h"
+#include "../store_test.h"
 
 namespace rockcrank {
 namespace {
 
-class CustodyStore : public testing::Test {
- protected:
-  void SetUp() override {
-    folder_ = testing::TempDir() + "custody-store-" + std::to_string(::getpid());
-    std::filesystem::remove_all(folder_);
-  }
-  void TearDown() override { std::filesystem::remove_all(folder_); }
-  static StoredDocument document(const std::string& id) {
-    StoredDocument held;
-    held.id = id, held.body = "body", held.doc_type = "plain", held.max_transmissions = 3, held.expiry = 1e15;
-    return held;
-  }
-  std::string folder_;
-};
+class CustodyStore : public StoreTest {};
 
 TEST_F(CustodyStore, FleetIdsMetadataAndTheLastNumberSurviveRestarts) {
   DocId kept{};
