Calls in the round of their time-out: the tests take the time-out from the call itself

Traced: the test read the clock again after the call was made. Where that took over 5 ms, the time-out was due a round before the answer. Change: call() returns the time at which it times out, and the four tests use that. Checks and bounds are as they were.

--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -128,13 +128,15 @@
     endpoints_.is_finished = [this](DocId doc) { return finished_.count(doc) > 0; };
   }
 
-  // Documents by their numbers, with their timeouts; all go in one call.
-  void call(const std::vector<std::pair<int, Millis>>& documents, const std::string& body = "hello") {
+  // Documents by their numbers, with their timeouts; all go in one call. Returns the time at which it times
+  // out.
+  Millis call(const std::vector<std::pair<int, Millis>>& documents, const std::string& body = "hello") {
     std::vector<OutboundTransmission> transmissions;
     for (auto [number, timeout] : documents)
       transmissions.push_back(
           {DocId(number), 0, loop_.now() + timeout, ids_.at(static_cast<std::size_t>(number)), "", body});
     endpoints_.call(endpoint, transmissions);
+    return std::ranges::min(transmissions, {}, &OutboundTransmission::deadline).deadline;
   }
 
   // Runs the loop until the condition holds.
@@ -209,8 +211,7 @@
 // An answer that arrives after poll() returned and before the call's timeout is handled, in one round,
 // counts.
 TEST_F(Calls, AnswerInTheRoundOfItsTimeout) {
-  call({{1, 100}});
-  const Millis timeout = loop_.now() + 100;
+  const Millis timeout = call({{1, 100}});
   wait_for_request(0);
   run_past(timeout, [&] { server_.answer(0, answered); });
   EXPECT_EQ(results(), Results{TransmissionResult::answered});
@@ -218,8 +219,7 @@
 }
 
 TEST_F(Calls, AnswerToABatchInTheRoundOfItsTimeout) {
-  call({{1, 100}, {2, 1000}});
-  const Millis timeout = loop_.now() + 100;
+  const Millis timeout = call({{1, 100}, {2, 1000}});
   wait_for_request(0);
   run_past(timeout, [&] {
     server_.answer(0, answer_of(R"([{"id":"id1","state":"later"},{"id":"id2","state":"ok"}])"));
@@ -229,8 +229,7 @@
 
 // A partial answer doesn't count: the call times out.
 TEST_F(Calls, PartialAnswerInTheRoundOfItsTimeout) {
-  call({{1, 100}, {2, 1000}});
-  const Millis timeout = loop_.now() + 100;
+  const Millis timeout = call({{1, 100}, {2, 1000}});
   wait_for_request(0);
   run_past(timeout, [&] { server_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[{"); });
   EXPECT_EQ(results(), (Results{TransmissionResult::timed_out, TransmissionResult::timed_out}));
@@ -240,8 +239,7 @@
 // A reset in the round of the timeout came after the last byte of the request, so the call is reported as
 // broken.
 TEST_F(Calls, ResetInTheRoundOfItsTimeout) {
-  call({{1, 100}});
-  const Millis timeout = loop_.now() + 100;
+  const Millis timeout = call({{1, 100}});
   wait_for_request(0);
   run_past(timeout, [&] { server_.reset(0); });
   EXPECT_EQ(results(), Results{TransmissionResult::connection_lost});
