A trial call's pause draws in one order on every machine

Cause: open_breaker() drew its jitter and its exponential pause as two arguments of one std::max. Class: an order of effects that the language leaves to the compiler. Change: the draws are statements of their own, the exponential one first as on x86-64, so nothing changes there.

--- a/src/decision/circuit_breaker.cpp
+++ b/src/decision/circuit_breaker.cpp
@@ -89,11 +89,15 @@
   route.breaker = BreakerState::open, route.opened_at = route.down_seen_at = now_,
   route.publish_pending = true;
   mark_for_persistence(route);
-  Millis own_interval = 1000 / slow_start_rate(route, 0);
-  route.next_trial_at =
-      now_ + std::max(jittered(trial_delay), own_interval > trial_delay
-                                                 ? std::min(draw_exponential(own_interval), 2 * own_interval)
-                                                 : 0);
+  route.next_trial_at = now_ + draw_trial_delay(route);
+}
+
+// A relay whose own slow-start rate allows less than one call in trial_delay draws from its own interval.
+Millis Decider::draw_trial_delay(const Route& route) {
+  const Millis own_interval = 1000 / slow_start_rate(route, 0);
+  const bool calls_seldom = own_interval > trial_delay;
+  const Millis own_delay = calls_seldom ? std::min(draw_exponential(own_interval), 2 * own_interval) : 0;
+  return std::max(jittered(trial_delay), own_delay);
 }
 
 // Five consecutive failures over all relays: a relay that calls seldom would not see five before the outage
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -174,6 +174,7 @@
   bool apply_retry_after(Route& route, Millis until, bool limit_met);
   void record_success(Route& route);
   void open_breaker(Route& route);
+  Millis draw_trial_delay(const Route& route);
   int failure_threshold(Route& route);
   bool trial_is_due(Route& route) {
     return route.breaker == BreakerState::open && now_ >= route.next_trial_at;
