Log the caller's id with each line about a document, and what becomes of an answer kept

Change: lines of the decision module carry their document, and the relay adds id=; answer_* lines say id= for what was message= there; event=answer_kept and event=answer_forgotten with the ending; counters answers_kept, answers_forgotten and connections_closed_* by reason. No behaviour changes.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -287,7 +287,7 @@
     return;
   }
   if (decided.long_poll_wait > 0) out_ << "follow " << relay << " 1\n";
-  for (const auto& line : decided.log) out_ << "say_log " << relay << ' ' << line << '\n';
+  for (const auto& line : decided.log) out_ << "say_log " << relay << ' ' << line.text << '\n';
   for (const auto& reject : decided.rejected)
     out_ << "overload_reply " << relay << ' ' << static_cast<std::uint64_t>(reject.doc) << ' '
          << static_cast<std::int64_t>(std::ceil(reject.retry_after * 1000.0)) << '\n';
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -112,7 +112,7 @@
       rejected ? "rejected" : "abandoned", 0ULL + static_cast<std::uint64_t>(doc.id),
       0ULL + static_cast<std::uint64_t>(doc.destination_id), current_rule_, doc.transmissions, doc.failures,
       doc.expiry - now_, safe ? "" : " violation=safe_rejection", in_time ? "" : " violation=deadline");
-  actions_.log.push_back(text);
+  actions_.log.push_back({text, doc.id});
 }
 
 // At capacity new documents are turned away, as when a busy destination is down. To keep a tenth of the
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -12,7 +12,7 @@
 namespace internal {
 
 void Decider::log(const Route& route, const char* event, std::initializer_list<RouteBase::Field> fields) {
-  actions_.log.push_back(route.log_line(event, fields));
+  actions_.log.push_back({route.log_line(event, fields), {}});
 }
 
 // Documents point to the type they were accepted with, so types are never removed.
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -132,6 +133,7 @@
   canceled,
   not_sent
 };
+const char* name_of(TransmissionResult result);  // as in the log
 
 // Load information that an endpoint puts into an answer.
 struct LoadHints {
@@ -199,6 +201,12 @@
   Millis min_idle_time = 0;
 };
 
+// A line for the host's log. Documents have numbers of their own here: the host adds the caller's id.
+struct LogLine {
+  std::string text;
+  std::optional<DocId> doc;  // the document that the line is about
+};
+
 // What the host has to do after a turn.
 struct Actions {
   std::vector<Reject> rejected;
@@ -210,7 +218,7 @@
   std::vector<EndpointId> forgotten_endpoints;  // long gone and without calls in flight; not used again
   Millis long_poll_wait = 0;     // start to watch the endpoint list with this wait; 0: no change
   Millis discovery_timeout = 0;  // when a discovery call fails, beyond the wait of a long poll
-  std::vector<std::string> log;
+  std::vector<LogLine> log;
   Millis wake_in = -1;  // negative: only at the next event
 };
 
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -1,10 +1,21 @@
 // Evaluates the outcome of a transmission for its document, its endpoint and its route.
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
 #include "decision/decider.h"
 
+namespace rockcrank {
+
+const char* name_of(TransmissionResult result) {
+  static constexpr std::array<const char*, 8> names = {"answered",      "error",  "refused",    "timed_out",
+                                                       "not_connected", "broken", "called_off", "not_sent"};
+  return names[static_cast<std::size_t>(result)];
+}
+
+}  // namespace rockcrank
+
 namespace rockcrank::internal {
 
 void Decider::outcome(const Outcome& outcome) {
@@ -168,17 +179,15 @@
 }
 
 void Decider::log_failed_transmission(const Doc& doc, const Outcome& outcome, const Route& route) {
-  static const char* const result_names[] = {"answered",      "error",  "refused",    "timed_out",
-                                             "not_connected", "broken", "called_off", "not_sent"};
   char text[260];
   std::snprintf(text, sizeof text,
                 "event=attempt_failed message=%llu attempt=%d route=%llx breaker=%s ending=%s took_ms=%.0f "
                 "wait_ms=%.0f next_try_ms=%.0f connection=%llu calls_before=%d%s",
                 0ULL + static_cast<std::uint64_t>(doc.id), outcome.transmission, 0ULL + route.id,
-                route.breaker_name(), result_names[static_cast<int>(outcome.result)], outcome.duration,
-                outcome.retry_after, doc.not_before - now_, 0ULL + outcome.connection, outcome.calls_before,
+                route.breaker_name(), name_of(outcome.result), outcome.duration, outcome.retry_after,
+                doc.not_before - now_, 0ULL + outcome.connection, outcome.calls_before,
                 outcome.unproven ? " unproven=1" : "");
-  actions_.log.push_back(text);
+  actions_.log.push_back({text, doc.id});
 }
 
 // Connections lost at one destination after another, each on a reused connection, mean that something on the
--- a/src/model/cold_fleet.cpp
+++ b/src/model/cold_fleet.cpp
@@ -347,7 +347,7 @@
     Actions actions = relay.decision->decide();
     for (const auto& rejected : actions.rejected) relay.held.erase(rejected.doc);
     for (DocId doc : actions.abandoned) relay.held.erase(doc);
-    for (const auto& line : actions.log) trace(i, line);
+    for (const auto& line : actions.log) trace(i, line.text);
     for (const auto& canceled : actions.canceled) cancel(relay, canceled);
     for (const auto& status : relay.decision->route_statuses_to_persist())
       relay.persisted_routes[status.route] = {status, now_};
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -4,6 +4,7 @@
 #include "relay/endpoints.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -91,6 +92,13 @@
 
 }  // namespace
 
+const char* name_of(EndpointCloseReason reason) {
+  static constexpr std::array<const char*, endpoint_close_reason_count> names = {
+      "call_failed",       "closed_by_answer", "idle_too_long",    "unusable",
+      "unexpected_answer", "answers_alike",    "connection_limit", "not_needed"};
+  return names[static_cast<std::size_t>(reason)];
+}
+
 // One connection and the call on it. A call is aborted as a whole by closing its connection, because the
 // endpoint cannot be told that one of the documents is no longer awaited.
 class Endpoints::Connection {
@@ -227,8 +235,9 @@
       result = TransmissionResult::not_connected;
     if (never_ran && (deferred_ || result == TransmissionResult::canceled))
       result = TransmissionResult::not_sent;
+    if (!unproven_answer_.empty()) log_forgotten_answer(result);
     finish_all({result, false}, 0, {});
-    owner_.discard(*this);
+    owner_.discard(*this, EndpointCloseReason::call_failed);
   }
 
   void cancel() {
@@ -375,7 +384,8 @@
   }
 
   void on_timeout() {
-    if (transmissions_.empty()) return owner_.discard(*this);  // idle or draining for long enough
+    // Idle or draining for long enough.
+    if (transmissions_.empty()) return owner_.discard(*this, EndpointCloseReason::idle_too_long);
     if (stream_.state() == Stream::State::connecting) return abort(TransmissionResult::not_connected);
     if (finished_by_pending_input()) return;
     if (unproven_may_end_call()) return believe_unproven();
@@ -446,7 +456,8 @@
     // closed.
     if (partial) return timer_.set(owner_.loop_.now() + drain_timeout);
     bool complete = answer.state == HttpResponse::State::complete;
-    if (!complete || answer.closes_connection || ended || has_unwritten_bytes()) return owner_.discard(*this);
+    if (!complete || answer.closes_connection || ended || has_unwritten_bytes())
+      return owner_.discard(*this, EndpointCloseReason::closed_by_answer);
     remember(stream_.received().substr(0, answer.size), answer);
     stream_.consume(answer.size);
     if (!stream_.received().empty()) return read_unexpected(false);
@@ -455,7 +466,7 @@
 
   void release() {
     if (owner_.may_keep_connection(endpoint_, answers_alike_)) return owner_.release(*this);
-    if (!retire()) return owner_.discard(*this);
+    if (!retire()) return owner_.discard(*this, EndpointCloseReason::answers_alike);
     owner_.release(*this);
     timer_.set(last_deadline_);
   }
@@ -486,14 +497,16 @@
       if (const Millis wait = retry_after_of(answer); wait > 0) owner_.on_wait_told(endpoint_, wait);
       if (answer.status == 200 && !delivered_unproven_.empty() && !ended) return listen_on(answer);
       contradict_delivery(answer.status);
+      return owner_.discard(*this, EndpointCloseReason::unexpected_answer);
     }
-    owner_.discard(*this);
+    owner_.discard(*this, EndpointCloseReason::unusable);
   }
 
   // The call's own answer may still come behind several copies. The connection carries no other call.
   void listen_on(const HttpResponse& answer) {
     stream_.consume(answer.state == HttpResponse::State::complete ? answer.size : 0);
-    if (answer.state != HttpResponse::State::complete) return owner_.discard(*this);
+    if (answer.state != HttpResponse::State::complete)
+      return owner_.discard(*this, EndpointCloseReason::unexpected_answer);
     retired_ = true;
     if (!stream_.received().empty()) return read_unexpected(false);
     owner_.release(*this);
@@ -579,6 +592,17 @@
     report_wait_early(answer);
     stream_.consume(answer.size);
     belief_timer_.set(believed_at());
+    ++owner_.answer_counts_.kept;
+    const auto result = result_of(answer);
+    if (result.completed != (answer.status == 200) || result.exhausted)
+      log_answer("answer_kept", answer.status);
+  }
+
+  // Its call ended in another way before it was believed.
+  void log_forgotten_answer(TransmissionResult ending) const {
+    ++owner_.answer_counts_.forgotten;
+    const auto answer = parse_response(unproven_answer_, max_body_bytes, false);
+    log_answer("answer_forgotten", answer.status, name_of(ending));
   }
 
   // The first bytes of a 200: the rest may never come, and may prove it.
@@ -661,12 +685,12 @@
       if (status != 200) owner_.on_delivery_contradicted(item.doc, item.id);
   }
 
-  void log_answer(const char* event, int status) const {
+  void log_answer(const char* event, int status, const char* ending = "none") const {
     log_line(
         "event=%s endpoint=%llx connection=%llu calls_before=%d status=%d proved_before=%d "
-        "since_call_ms=%.1f message=%s",
+        "since_call_ms=%.1f ending=%s id=%s",
         event, 0ULL + static_cast<std::uint64_t>(endpoint_), 0ULL + number_, history_.answers(), status,
-        history_.in_step() ? 1 : 0, owner_.loop_.now() - started_at_,
+        history_.in_step() ? 1 : 0, owner_.loop_.now() - started_at_, ending,
         transmissions_.empty() ? "none" : transmissions_[0].id.c_str());
   }
 
@@ -756,9 +780,12 @@
     auto candidate = std::move(*best);
     idle.erase(best);
     const bool kept = may_keep_connection(endpoint, candidate->answers_alike());
-    if (kept && candidate->usable() && loop_.now() - candidate->idle_since() <= max_idle_time)
-      return candidate;
-    if (!candidate->retire()) discard_idle(std::move(candidate));
+    const bool usable = candidate->usable();
+    if (kept && usable && loop_.now() - candidate->idle_since() <= max_idle_time) return candidate;
+    const auto reason = !kept    ? EndpointCloseReason::answers_alike
+                        : usable ? EndpointCloseReason::idle_too_long
+                                 : EndpointCloseReason::unusable;
+    if (!candidate->retire()) discard_idle(std::move(candidate), reason);
     else idle.push_back(std::move(candidate));
   }
 }
@@ -805,12 +832,13 @@
   active_[&used] = std::move(moved);
   for (const auto& item : connection.transmissions()) in_flight_[{item.doc, item.transmission}] = &used;
   used.take_call(connection);
-  discard(connection);
+  discard(connection, EndpointCloseReason::unexpected_answer);
   if (used.lacks_descriptor()) used.abort(TransmissionResult::not_sent);
   else if (used.failed_to_open()) used.abort(TransmissionResult::not_connected);
 }
 
-void Endpoints::discard_idle(std::unique_ptr<Connection> connection) {
+void Endpoints::discard_idle(std::unique_ptr<Connection> connection, EndpointCloseReason reason) {
+  ++closed_counts_[static_cast<std::size_t>(reason)];
   connection->on_discard();
   loop_.defer_delete(std::move(connection));
 }
@@ -866,7 +894,7 @@
     if (!pool.idle.empty() && (!oldest || pool.idle.back()->idle_since() < oldest->back()->idle_since()))
       oldest = &pool.idle;
   if (!oldest) return false;
-  discard_idle(std::move(oldest->back()));
+  discard_idle(std::move(oldest->back()), EndpointCloseReason::connection_limit);
   oldest->pop_back();
   return true;
 }
@@ -897,14 +925,15 @@
       ++at;
       continue;
     }
-    discard_idle(std::move(*at));
+    discard_idle(std::move(*at), EndpointCloseReason::not_needed);
     at = idle.erase(at);
   }
 }
 
 void Endpoints::remove(EndpointId endpoint) {
   if (auto found = pools_.find(endpoint); found != pools_.end())
-    for (auto& connection : found->second.idle) discard_idle(std::move(connection));
+    for (auto& connection : found->second.idle)
+      discard_idle(std::move(connection), EndpointCloseReason::not_needed);
   pools_.erase(endpoint);
 }
 
@@ -913,15 +942,17 @@
   if (found == active_.end()) return;
   auto pool = pools_.find(connection.endpoint());
   // The endpoint was removed while the answer was draining, or its address has changed.
-  if (pool == pools_.end() || connection.address() != pool->second.address) return discard(connection);
+  if (pool == pools_.end() || connection.address() != pool->second.address)
+    return discard(connection, EndpointCloseReason::not_needed);
   pool->second.idle.push_front(std::move(found->second));
   active_.erase(found);
   connection.on_idle();
 }
 
-void Endpoints::discard(Connection& connection) {
+void Endpoints::discard(Connection& connection, EndpointCloseReason reason) {
   connection.close();
   if (auto found = active_.find(&connection); found != active_.end()) {
+    ++closed_counts_[static_cast<std::size_t>(reason)];
     loop_.defer_delete(std::move(found->second));
     active_.erase(found);
     return;
@@ -932,7 +963,7 @@
   auto found = std::find_if(idle.begin(), idle.end(),
                             [&](const auto& candidate) { return candidate.get() == &connection; });
   if (found == idle.end()) return;
-  discard_idle(std::move(*found));
+  discard_idle(std::move(*found), reason);
   idle.erase(found);
 }
 
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -4,6 +4,7 @@
 // that had to wait for the socket, it asks whether the call may still be written.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -21,6 +22,20 @@
 
 namespace rockcrank {
 
+// Why this relay ended a connection to an endpoint.
+enum class EndpointCloseReason : std::uint8_t {
+  call_failed,       // the call on it ended without an answer, or with one that cannot be read
+  closed_by_answer,  // the endpoint's answer closes it, or its end came behind the answer
+  idle_too_long,
+  unusable,  // unread bytes, or an unread end, came while it was idle
+  unexpected_answer,
+  answers_alike,  // its next answer could not be told from a copy
+  connection_limit,
+  not_needed,  // the decision module closes it, or its endpoint has no address or another one
+};
+constexpr std::size_t endpoint_close_reason_count = 8;
+const char* name_of(EndpointCloseReason reason);
+
 struct OutboundTransmission {
   DocId doc{};
   int transmission = 0;
@@ -106,8 +121,13 @@
     std::uint64_t unexpected = 0;  // no call was out
     std::uint64_t early = 0;       // their call had not been written
     std::uint64_t unproven = 0;    // believed without a proof
+    std::uint64_t kept = 0;        // not proved, so not believed at once
+    std::uint64_t forgotten = 0;   // kept, and not believed when their call ended in another way
   };
   const AnswerCounts& answer_counts() const { return answer_counts_; }
+  std::uint64_t closed_count(EndpointCloseReason reason) const {
+    return closed_counts_[static_cast<std::size_t>(reason)];
+  }
   Millis max_idle_time = 0;  // set before each turn's calls: a connection idle for longer is not reused
 
   // Applies to connections opened or becoming idle from now on.
@@ -138,11 +158,11 @@
   };
 
   void release(Connection& connection);
-  void discard(Connection& connection);
+  void discard(Connection& connection, EndpointCloseReason reason);
   bool ensure_capacity();
   std::unique_ptr<Connection> take_idle_connection(EndpointId endpoint,
                                                    const std::vector<OutboundTransmission>& transmissions);
-  void discard_idle(std::unique_ptr<Connection> connection);
+  void discard_idle(std::unique_ptr<Connection> connection, EndpointCloseReason reason);
   void release_preconnected(Connection& connection);
   void move_to_new_connection(Connection& connection);
 
@@ -155,6 +175,7 @@
   std::size_t connections_ = 0;
   std::uint64_t last_connection_number_ = 0;
   AnswerCounts answer_counts_;
+  std::array<std::uint64_t, endpoint_close_reason_count> closed_counts_{};
 };
 
 }  // namespace rockcrank
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -106,7 +106,7 @@
   };
   // A report on a document that is over does no harm, and one that is owed must not be missing.
   endpoints_.on_delivery_contradicted = [this](DocId doc, const std::string& id) {
-    log_line("event=delivery_contradicted message=%s", id.c_str());
+    log_line("event=delivery_contradicted id=%s", id.c_str());
     if (!fleet_) reports_.report(doc, id, false, 0);
   };
   endpoints_.on_connecting = [this](DocId doc, int transmission) {
@@ -601,7 +601,7 @@
   turn_timer_.clear();
   if (fleet_) fleet_->after_turn(actions);
   if (gossip_socket_) gossip_socket_->after_turn();
-  for (const auto& line : actions.log) log_line("%s", line.c_str());
+  for (const auto& line : actions.log) log_decision(line);
   end_documents(actions);
   // The store is written before replies and calls, so that a restart knows of both.
   record(actions);
@@ -614,6 +614,13 @@
   schedule_next_turn(actions.wake_in);
 }
 
+// With the caller's id of its document, by which a caller's report can be found in the log.
+void Relay::log_decision(const LogLine& line) const {
+  auto found = line.doc ? store_.documents().find(*line.doc) : store_.documents().end();
+  if (found == store_.documents().end()) return log_line("%s", line.text.c_str());
+  log_line("%s id=%s", line.text.c_str(), found->second.id.c_str());
+}
+
 void Relay::resume_deferred() {
   if (fleet_) {
     fleet_->before_turn();
@@ -884,6 +891,12 @@
   add("answers_unexpected", answers.unexpected);
   add("answers_before_call", answers.early);
   add("answers_unproven", answers.unproven);
+  add("answers_kept", answers.kept);
+  add("answers_forgotten", answers.forgotten);
+  for (std::size_t i = 0; i < endpoint_close_reason_count; ++i) {
+    auto reason = static_cast<EndpointCloseReason>(i);
+    add((std::string("connections_closed_") + name_of(reason)).c_str(), endpoints_.closed_count(reason));
+  }
   add("views_refreshed", views_refreshed_);
   add("late_rounds", late_rounds_);
   add("latest_round_ms", static_cast<std::uint64_t>(latest_round_));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -56,6 +56,7 @@
   Document to_document(const StoredDocument& stored, DocId doc, Millis wall) const;
   void enqueue(const EnqueueCommand& command, ReplyTo reply_to);
   void on_outcome(const Outcome& outcome);
+  void log_decision(const LogLine& line) const;
   void apply_endpoint_list(const EndpointListUpdate& list);
   SendPermission may_write(DocId doc, int transmission);
   Millis view_age() const;  // since all that had arrived was read
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -69,6 +69,7 @@
   Store& operator=(const Store&) = delete;
 
   std::map<DocId, StoredDocument>& documents() { return documents_; }
+  const std::map<DocId, StoredDocument>& documents() const { return documents_; }
   DocId add(StoredDocument document);  // in memory only; record_accepted() queues its record
   bool contains(std::string_view id) const { return by_id_.count(id) > 0; }
   bool has_room(std::size_t bytes);  // for one more document of this size; may compact
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -220,7 +220,7 @@
     auto decided = decision_->decide();
     if (reports_changes_) record_statuses(decision_->route_statuses(false));
     cpu_ms_ += 1e3 * double(std::clock() - started) / CLOCKS_PER_SEC, ++turns_;
-    for (const auto& text : decided.log) log_lines_.push_back(text);
+    for (const auto& line : decided.log) log_lines_.push_back(line.text);
     for (const auto& r : decided.rejected) record_final_answer(r.doc, true);
     for (DocId d : decided.abandoned) record_final_answer(d, false);
     for (const auto& c : decided.canceled)
