A call's end, however it comes, judges the answer kept instead of forgetting it

The end of the call's time, calling it off for another message's slot, and the end of its connection dropped it: Connection::abort() reported the bare ending, so the document was open. Class: what was learned is dropped at the end of the object that holds it. Change: answer_verdict.h is the one place that says what an answer does to a document, by what it says and how its call ended; abort(), the belief timer, the time-out and a whole answer ask it. A document that may be over (410, and a 200 whose call was called off or whose connection ended) is not called again, and its end is reported, which a document that is over takes without harm; 504 spends the attempts in each case. Why it works: no way is left by which a call ends without asking. Two answers that disagree no longer reopen a document that one of them ended. A kept answer with Connection: close no longer leaves its connection in the pool. Handover format 3: what is known of doubted answers goes over, and that a connection carries no further call.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -249,7 +249,7 @@
   outcome.doc = DocId(fields.integer("opId", 0, id_limit - 1));
   outcome.transmission = static_cast<int>(fields.integer("trial", 0, std::numeric_limits<int>::max()));
   auto wait = static_cast<double>(fields.integer_or("waitMs", 0, exact_integer_limit, 0));
-  outcome.completed = fields.flag("last");
+  outcome.end = fields.flag("last") ? DocumentEnd::over : DocumentEnd::none;
   outcome.duration = to_millis(fields.integer("delaySeenUs", 0, exact_integer_limit));
   outcome.result = parse_enum(endings, fields.word("ending"), "ending");
   outcome.endpoint = endpoint_id(fields.word("endpoint"));
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -90,6 +90,16 @@
   bool rejected = may_reject(doc);
   if (rejected) actions_.rejected.push_back({doc.id, wait});
   else actions_.abandoned.push_back(doc.id);
+  finish(doc, rejected);
+}
+
+void Decider::abandon(Doc& doc, const char* reason) {
+  current_rule_ = reason;
+  actions_.abandoned.push_back(doc.id);
+  finish(doc, false);
+}
+
+void Decider::finish(Doc& doc, bool rejected) {
   record_end(doc, rejected);
   if (doc.ordered && settings_.end_reports_acknowledged)
     key_queues_[doc.key].unacknowledged_ends.insert(doc.id);
--- a/src/decision/answer_proof.cpp
+++ b/src/decision/answer_proof.cpp
@@ -9,23 +9,27 @@
 // Where copies were seen lately, or deliveries always differ, one that repeats an answer is not believed.
 // Elsewhere one that came much sooner than this endpoint answers is believed only after several times the
 // longest of its recent answers, any other once the endpoint has had its usual time. A refusal that is
-// wrongly believed would send an unsafe document twice, so it is always given the long time.
+// wrongly believed would send an unsafe document twice, so it is always given the long time. So is one that
+// ends its document, as a copy would end another one.
 Millis Decider::believe_after(const UnprovenAnswer& answer) {
   auto found = in_flight_.find({answer.doc, answer.transmission});
   if (found == in_flight_.end()) return 0;
   Call& call = calls_[std::get<0>(found->second)];
   AnswerTimes& times = call.endpoint->answer_times;
-  if (copied_lately(*call.endpoint) || answer.deliveries_differ) return never;
+  const bool is_delivery = answer.kind == AnswerKind::delivered;
+  if (copied_lately(*call.endpoint) || (is_delivery && answer.deliveries_differ)) return never;
   const Millis usual = usual_duration(*call.route);
   Millis longest = times.longest(now_);
   if (longest <= 0) longest = 2 * usual;
+  if (answer.kind == AnswerKind::over) return early_answer_patience * longest;
+  const bool never_ran = !is_delivery && answer.kind != AnswerKind::failed;
   auto held = docs_.find(answer.doc);
   if (held != docs_.end()) {
     const DocType& type = *held->second.type;
-    if (answer.never_ran && type.retry_safety == RetrySafety::unsafe) return never;
+    if (never_ran && type.retry_safety == RetrySafety::unsafe) return never;
     if (type.in_order) return early_answer_patience * longest;
   }
-  const Millis shortest = (answer.never_ran ? times.failed : times.delivered).shortest(now_);
+  const Millis shortest = (never_ran ? times.failed : times.delivered).shortest(now_);
   if (answer.answer_time < early_answer_share * shortest) return early_answer_patience * longest;
   return std::min(longest_answer_patience * longest, usual_answer_patience * usual);
 }
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -151,6 +151,8 @@
   bool out_of_time(Doc& doc) { return now_ >= doc.expiry - expiry_margin(); }
   bool is_exhausted(Doc& doc);
   void end_document(Doc& doc);
+  void abandon(Doc& doc, const char* reason);
+  void finish(Doc& doc, bool rejected);
   void record_end(const Doc& doc, bool rejected);
   bool must_make_room(Doc& doc);
 
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -135,6 +135,25 @@
 };
 const char* name_of(TransmissionResult result);  // as in the log
 
+// What an answer says of one document of its call.
+enum class AnswerKind : std::uint8_t {
+  delivered,
+  failed,   // it may have run; also a status that the protocol does not name, and a document that an answer
+            // leaves out
+  refused,  // it never ran, nor with those below
+  slots_taken,     // all slots of this relay at the endpoint are taken
+  attempts_spent,  // no further attempt is left, and its end is owed
+  over             // withdrawn or out of time: nothing more is owed
+};
+
+// What the outcome of a transmission does to its document.
+enum class DocumentEnd : std::uint8_t {
+  none,
+  attempts_spent,  // whatever this relay has counted
+  over,            // nothing more is owed
+  over_unproved    // it may be over: it is not sent again, and its end is reported
+};
+
 // Load information that an endpoint puts into an answer.
 struct LoadHints {
   bool present = false;
@@ -147,8 +166,7 @@
   int transmission = 0;
   TransmissionResult result = TransmissionResult::answered;
   EndpointId endpoint{};
-  bool completed = false;  // the document has its final answer
-  bool exhausted = false;  // no transmissions are left, whatever this relay has counted
+  DocumentEnd end = DocumentEnd::none;
   Millis retry_after = 0;
   Millis duration = 0;
   Millis answer_time = -1;           // of it since the call was written; negative: unknown to the host
@@ -173,9 +191,8 @@
   DocId doc{};
   int transmission = 0;
   Millis answer_time = 0;  // since the call was written
-  bool never_ran = false;  // it says that the call never ran
-  // It says that the call was delivered, and no two deliveries at its endpoint had the same bytes so far.
-  bool deliveries_differ = false;
+  AnswerKind kind = AnswerKind::delivered;
+  bool deliveries_differ = false;  // no two deliveries at its endpoint had the same bytes so far
 };
 
 struct Transmit {
--- a/src/decision/outcomes.cpp
+++ b/src/decision/outcomes.cpp
@@ -26,7 +26,8 @@
   Call& call = calls_[call_number];
   bool timed_out = outcome.result == TransmissionResult::timed_out,
        canceled = outcome.result == TransmissionResult::canceled;
-  bool outcome_unknown = timed_out || canceled || outcome.result == TransmissionResult::connection_lost;
+  bool outcome_unknown = timed_out || canceled || outcome.result == TransmissionResult::connection_lost ||
+                         outcome.end == DocumentEnd::over_unproved;
   if (ordered) {
     KeyQueue& queue = key_queues_[key];
     --queue.in_flight;
@@ -55,12 +56,16 @@
   if (auto held = docs_.find(outcome.doc); held != docs_.end()) {
     Doc& doc = held->second;
     --doc.in_flight;
-    if (outcome.exhausted) doc.max_transmissions = std::min(doc.max_transmissions, doc.transmissions);
+    if (outcome.end == DocumentEnd::attempts_spent)
+      doc.max_transmissions = std::min(doc.max_transmissions, doc.transmissions);
     else if (outcome.never_written) ++doc.max_transmissions;  // it spent none
     if ((outcome_unknown || outcome.result == TransmissionResult::error) && !doc.may_have_run())
       doc.may_have_run_at = call.sent_at, doc.may_have_run_zone = call.endpoint->zone;
-    if (outcome.completed) remove(doc);
-    else {
+    if (outcome.end == DocumentEnd::over) {
+      remove(doc);
+    } else if (outcome.end == DocumentEnd::over_unproved) {
+      abandon(doc, "over by an answer without proof");
+    } else {
       // Exponential backoff with jitter: base x 2^(failures-1), also where no slot or socket was free. After
       // a refusal the jitter is 100%, counted from the end of a Retry-After, so that what was refused
       // together is not retried together.
--- a/src/model/cold_fleet.cpp
+++ b/src/model/cold_fleet.cpp
@@ -271,7 +271,8 @@
       Outcome outcome = call.outcome;
       outcome.doc = doc;
       outcome.transmission = transmission;
-      outcome.completed = answered || !relay.held.count(doc);
+      const bool is_over = answered || !relay.held.count(doc);
+      outcome.end = is_over ? DocumentEnd::over : DocumentEnd::none;
       relay.decision->outcome(outcome);
       if (answered && relay.held.erase(doc) > 0) delivered_ += !to_other && is_cold(call.sent);
     }
--- a/src/peer/streams.cpp
+++ b/src/peer/streams.cpp
@@ -153,7 +153,7 @@
     for (DocId doc : actions.abandoned) on_delivery_failed(doc);
   }
   void on_outcome(const Outcome& outcome) override {
-    if (!outcome.completed) return;
+    if (outcome.end != DocumentEnd::over) return;
     auto report_delivered = [&](auto& from) {
       auto found = from.find(outcome.doc);
       if (found == from.end()) return false;
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -8,7 +8,10 @@
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 
+#include "decision/answer_verdict.h"
 #include "relay/log.h"
 #include "settings/base64.h"
 #include "settings/settings.h"
@@ -49,45 +52,45 @@
 // For the rest of an answer whose status line has decided the outcome.
 constexpr Millis drain_timeout = 500;
 
-struct CallResult {
-  TransmissionResult result = TransmissionResult::error;
-  bool completed = false, exhausted = false;
-};
-
-// The result that an answer gives for all documents of its call. After an unknown status they may have run.
-CallResult result_of(const HttpResponse& answer) {
-  switch (answer.status) {
-    case 200: return {TransmissionResult::answered, true};
-    case 410: return {TransmissionResult::not_sent, true};
-    case 504: return {TransmissionResult::not_sent, false, true};
-    case 503:
-      return {
-          answer.header("X-Line-Busy") == "1" ? TransmissionResult::not_sent : TransmissionResult::refused,
-          false};
-    case 429:
-    case 400:
-    case 413: return {TransmissionResult::refused, false};
-    default: return {TransmissionResult::error, false};
-  }
-}
-
-CallResult result_of(std::string_view state) {
-  if (state == "ok") return {TransmissionResult::answered, true};
-  if (state == "later") return {TransmissionResult::refused, false};
-  if (state == "gone") return {TransmissionResult::not_sent, true};
-  if (state == "exhausted") return {TransmissionResult::not_sent, false, true};
-  return {TransmissionResult::error, false};
+AnswerKind kind_of(const HttpResponse& answer) {
+  return kind_of_status(answer.status, answer.header("X-Line-Busy") == "1");
 }
 
-// The results that an answer to several documents lists, by id.
-std::map<std::string, CallResult> listed_results(const HttpResponse& answer) {
+// What an answer to several documents lists, by id.
+std::map<std::string, AnswerKind> listed_kinds(const HttpResponse& answer) {
   auto states = nlohmann::json::parse(answer.body(), nullptr, false);
-  std::map<std::string, CallResult> results;
+  std::map<std::string, AnswerKind> kinds;
   for (const auto& state : states.is_array() ? states : nlohmann::json::array())
     if (state.is_object() && state.contains("id") && state["id"].is_string() && state.contains("state") &&
         state["state"].is_string())
-      results[state["id"].get<std::string>()] = result_of(state["state"].get<std::string>());
-  return results;
+      kinds[state["id"].get<std::string>()] = kind_of_item_state(state["state"].get<std::string>());
+  return kinds;
+}
+
+// What an answer says of each document of its call.
+class AnswerKinds {
+ public:
+  AnswerKinds(const HttpResponse& answer, bool is_batch)
+      : kind_(kind_of(answer)), has_list_(is_batch && answer.status == 200) {
+    if (has_list_) listed_ = listed_kinds(answer);
+  }
+  AnswerKind of(const std::string& id) const {
+    if (!has_list_) return kind_;
+    auto found = listed_.find(id);
+    return found == listed_.end() ? AnswerKind::failed : found->second;
+  }
+
+ private:
+  AnswerKind kind_;
+  bool has_list_;
+  std::map<std::string, AnswerKind> listed_;
+};
+
+// The end of a call that was written, by its result without an answer.
+CallEnd call_end_of(TransmissionResult result) {
+  if (result == TransmissionResult::timed_out) return CallEnd::timed_out;
+  if (result == TransmissionResult::canceled) return CallEnd::canceled;
+  return CallEnd::connection_lost;
 }
 
 }  // namespace
@@ -125,6 +128,9 @@
         answers_alike_(snapshot.answers_alike),
         unproven_answer_(snapshot.unproven_answer),
         unproven_at_(snapshot.unproven_at),
+        retired_(snapshot.retired),
+        disputed_(snapshot.disputed),
+        ended_by_earlier_(snapshot.ended_by_earlier.begin(), snapshot.ended_by_earlier.end()),
         transmissions_(snapshot.transmissions),
         request_(snapshot.request),
         is_batch_(snapshot.is_batch),
@@ -148,6 +154,8 @@
     all.endpoint = endpoint_, all.address = address_, all.stream = stream_.snapshot();
     all.transmissions = transmissions_, all.request = request_;
     all.unproven_answer = unproven_answer_, all.unproven_at = unproven_at_;
+    all.retired = retired_, all.disputed = disputed_;
+    all.ended_by_earlier.assign(ended_by_earlier_.begin(), ended_by_earlier_.end());
     all.history = history_.snapshot(), all.answers_alike = answers_alike_;
     all.is_batch = is_batch_, all.deferred = deferred_;
     all.connection_closed = connection_closed_, all.draining = draining_;
@@ -187,6 +195,7 @@
     started_at_ = owner_.loop_.now();
     connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
     wait_reported_ = unproven_ = disputed_ = false;
+    ended_by_earlier_.clear();
     report_preconnect(PreconnectEvent::used);
     const Millis deadline = call_deadline(transmissions);
     for (const auto& sent : transmissions)
@@ -235,8 +244,9 @@
       result = TransmissionResult::not_connected;
     if (never_ran && (deferred_ || result == TransmissionResult::canceled))
       result = TransmissionResult::not_sent;
-    if (!unproven_answer_.empty()) log_forgotten_answer(result);
-    finish_all({result, false}, 0, {});
+    const auto kept = never_ran ? std::nullopt : kept_answer();
+    if (kept) finish_with_kept(*kept, result);
+    else finish_all({result, DocumentEnd::none, false}, 0, {});
     owner_.discard(*this, EndpointCloseReason::call_failed);
   }
 
@@ -388,36 +398,43 @@
     if (transmissions_.empty()) return owner_.discard(*this, EndpointCloseReason::idle_too_long);
     if (stream_.state() == Stream::State::connecting) return abort(TransmissionResult::not_connected);
     if (finished_by_pending_input()) return;
-    if (unproven_may_end_call()) return believe_unproven();
+    if (is_believed(CallEnd::timed_out)) return believe_unproven(CallEnd::timed_out);
     // No document is reported as ended while its call goes on: the endpoint might still run it, and the
     // answers for the other documents would be lost.
     abort(TransmissionResult::timed_out);
   }
 
-  void finish_one(const InFlightTransmission& item, CallResult result, Millis wait, const LoadHints& hints) {
+  void finish_one(const InFlightTransmission& item, const AnswerVerdict& verdict, Millis wait,
+                  const LoadHints& hints) {
     Outcome outcome;
     outcome.doc = item.doc, outcome.transmission = item.transmission, outcome.endpoint = endpoint_;
-    outcome.result = result.result, outcome.completed = result.completed,
-    outcome.exhausted = result.exhausted;
+    outcome.result = verdict.result, outcome.end = verdict.end;
     outcome.duration = (unproven_ ? unproven_at_ : owner_.loop_.now()) - started_at_;
     if (!has_unwritten_bytes())
       outcome.answer_time = (unproven_ ? unproven_at_ : owner_.loop_.now()) - written_at_;
     outcome.unproven = unproven_, outcome.connection = number_, outcome.calls_before = history_.answers();
     outcome.retry_after = wait, outcome.hints = hints, outcome.connection_idle_time = connection_idle_time_,
     outcome.connection_closed = connection_closed_;
-    outcome.never_written = has_unwritten_bytes() && result.result == TransmissionResult::not_sent;
+    outcome.never_written = has_unwritten_bytes() && verdict.result == TransmissionResult::not_sent;
     owner_.in_flight_.erase({item.doc, item.transmission});
     owner_.on_outcome(outcome);
   }
 
-  template <typename ResultOf>
-  void finish_each(ResultOf result_of_item, Millis wait, const LoadHints& hints) {
+  template <typename VerdictOf>
+  void finish_each(VerdictOf verdict_of, Millis wait, const LoadHints& hints) {
     auto items = std::exchange(transmissions_, {});
     timer_.clear(), connect_timer_.clear(), belief_timer_.clear();
-    for (const auto& item : items) finish_one(item, result_of_item(item), wait, hints);
+    for (const auto& item : items) finish_one(item, verdict_of(item), wait, hints);
   }
-  void finish_all(CallResult result, Millis wait, const LoadHints& hints) {
-    finish_each([&](const InFlightTransmission&) { return result; }, wait, hints);
+  void finish_all(const AnswerVerdict& verdict, Millis wait, const LoadHints& hints) {
+    finish_each([&](const InFlightTransmission&) { return verdict; }, wait, hints);
+  }
+  // The call ends in another way before the answer that came to it was believed.
+  void finish_with_kept(const HttpResponse& answer, TransmissionResult result) {
+    log_forgotten_answer(answer, result);
+    const AnswerKinds kinds(answer, is_batch_);
+    const CallEnd end = disputed_ ? CallEnd::disputed : call_end_of(result);
+    finish_each([&](const InFlightTransmission& item) { return verdict_of(kinds, item, end); }, 0, {});
   }
 
   void read(bool ended) {
@@ -439,19 +456,24 @@
     // Any other answer that cannot be read completely is ignored: its status line may be corrupt too.
     if (!complete && !is_decided) return abort(TransmissionResult::connection_lost), false;
     if (!draining_ && history_.answers() > 0) {
-      if (partial) return await_proof(), false;
+      // The first bytes of a 200 may be those of a copy. One that is malformed is none: all before it were
+      // not.
+      const bool is_cut = !complete && !(answer.state == State::malformed && history_.in_step());
+      if (is_cut) await_proof();
+      if (is_cut && !partial) abort(TransmissionResult::connection_lost);
+      if (is_cut) return false;
       const auto proof = proof_of(answer);
       if (proof == Proof::other_call) return drop_copy(answer), true;
       if (complete && proof == Proof::none) return keep_unproven(answer), true;
       if (!unproven_answer_.empty()) drop_unproven();
     }
-    finish_answer(answer, partial, ended);
+    finish_answer(answer, CallEnd::proved_answer, partial, ended);
     return false;
   }
 
   // The outcome of the call is reported by this answer, of which a part may be still to come.
-  void finish_answer(const HttpResponse& answer, bool partial, bool ended) {
-    if (!std::exchange(draining_, partial)) process_response(answer);
+  void finish_answer(const HttpResponse& answer, CallEnd end, bool partial, bool ended) {
+    if (!std::exchange(draining_, partial)) process_response(answer, end);
     // An answer may stop short, and the endpoint counts such a call as running until its connection is
     // closed.
     if (partial) return timer_.set(owner_.loop_.now() + drain_timeout);
@@ -472,8 +494,7 @@
   }
 
   void remember(std::string_view bytes, const HttpResponse& answer) {
-    const auto result = result_of(answer).result;
-    const bool refused = result == TransmissionResult::refused || result == TransmissionResult::not_sent;
+    const bool refused = never_ran(answer);
     history_.add(bytes, !unproven_, refused);
     auto pool = owner_.pools_.find(endpoint_);
     if (pool == owner_.pools_.end()) return;
@@ -525,9 +546,7 @@
     if (nothing_written && history_.answers() > 0) return owner_.move_to_new_connection(*this), true;
     if (!transmissions_.empty()) report_wait_early(answer);
     if (answer.state == HttpResponse::State::partial && !ended) return true;
-    const auto result = result_of(answer).result;
-    const bool refused = answer.state == HttpResponse::State::complete &&
-                         (result == TransmissionResult::refused || result == TransmissionResult::not_sent);
+    const bool refused = answer.state == HttpResponse::State::complete && never_ran(answer);
     if (refused && history_.answers() == 0) return false;
     const bool out_of_step = has_answer && history_.answers() > 0;
     return abort(out_of_step ? TransmissionResult::not_sent : TransmissionResult::connection_lost), true;
@@ -557,7 +576,7 @@
     if (auto id = answer.header("Request-Id"); !is_batch_ && !id.empty())
       return is_ours(id) ? Proof::this_call : Proof::other_call;
     if (!is_batch_ || answer.status != 200) return Proof::none;
-    const auto listed = listed_results(answer);
+    const auto listed = listed_kinds(answer);
     if (listed.empty()) return Proof::none;
     return std::ranges::any_of(listed, [&](const auto& one) { return is_ours(one.first); })
                ? Proof::this_call
@@ -572,9 +591,21 @@
   void drop_unproven() {
     const auto answer = parse_response(unproven_answer_, max_body_bytes, false);
     note_copy(answer.status);
+    record_unproven_ends(AnswerKinds(answer, is_batch_), false);
+    ended_by_earlier_.clear();
     unproven_answer_.clear();
   }
 
+  // A further answer that proves nothing: which of them is that of the call is not known.
+  void replace_unproven(const HttpResponse& next) {
+    const auto last = parse_response(unproven_answer_, max_body_bytes, false);
+    const AnswerKinds kinds(last, is_batch_);
+    for (const auto& item : transmissions_)
+      if (ends_document(kinds.of(item.id))) ended_by_earlier_.insert(item.id);
+    if (kind_of(last) != kind_of(next)) disputed_ = true;
+    note_copy(last.status);
+  }
+
   void note_copy(int status) {
     ++owner_.answer_counts_.copied;
     log_answer("answer_copied", status);
@@ -583,25 +614,27 @@
   }
 
   void keep_unproven(const HttpResponse& answer) {
-    const bool is_second = !unproven_answer_.empty();
-    const TransmissionResult first = unproven_result();
-    if (is_second) drop_unproven();
-    if (is_second && first != result_of(answer).result) disputed_ = true;
+    if (!unproven_answer_.empty()) replace_unproven(answer);
     unproven_answer_ = stream_.received().substr(0, answer.size);
     unproven_at_ = owner_.loop_.now();
     report_wait_early(answer);
+    ++owner_.answer_counts_.kept;
+    const AnswerKind kind = kind_of(answer);
+    const bool is_logged = is_batch_ || kind == AnswerKind::over || kind == AnswerKind::attempts_spent;
+    if (is_logged) log_answer("answer_kept", answer.status);
+    record_unproven_ends(AnswerKinds(answer, is_batch_), true);
     stream_.consume(answer.size);
     belief_timer_.set(believed_at());
-    ++owner_.answer_counts_.kept;
-    const auto result = result_of(answer);
-    if (result.completed != (answer.status == 200) || result.exhausted)
-      log_answer("answer_kept", answer.status);
   }
 
-  // Its call ended in another way before it was believed.
-  void log_forgotten_answer(TransmissionResult ending) const {
+  // The next process must know of an end that the call would not tell it.
+  void record_unproven_ends(const AnswerKinds& kinds, bool may_be_over) {
+    for (const auto& item : transmissions_)
+      if (must_be_recorded(kinds.of(item.id))) owner_.on_unproven_end(item.doc, may_be_over);
+  }
+
+  void log_forgotten_answer(const HttpResponse& answer, TransmissionResult ending) const {
     ++owner_.answer_counts_.forgotten;
-    const auto answer = parse_response(unproven_answer_, max_body_bytes, false);
     log_answer("answer_forgotten", answer.status, name_of(ending));
   }
 
@@ -611,25 +644,47 @@
     belief_timer_.set(believed_at());
   }
 
-  // The result that the unproven answer gives, of which only the first bytes may have come.
-  TransmissionResult unproven_result() const {
-    if (unproven_answer_.empty()) return TransmissionResult::answered;
-    return result_of(parse_response(unproven_answer_, max_body_bytes, false)).result;
+  // The answer that came to the call that is out and is not believed yet: whole, or the first bytes of a 200.
+  std::optional<HttpResponse> kept_answer() const {
+    if (transmissions_.empty()) return {};
+    if (!unproven_answer_.empty()) return parse_response(unproven_answer_, max_body_bytes, false);
+    if (is_batch_ || stream_.received().empty() || unproven_at_ < written_at_) return {};
+    auto begun = parse_response(stream_.received(), max_body_bytes, false);
+    if (begun.status != 200) return {};
+    return begun;
+  }
+
+  AnswerVerdict verdict_of(const AnswerKinds& kinds, const InFlightTransmission& item, CallEnd end) const {
+    const AnswerVerdict verdict = judge_answer(kinds.of(item.id), end);
+    return ended_by_earlier_.contains(item.id) ? judge_disputed_end(verdict) : verdict;
+  }
+
+  // Whether the answer kept is believed for each document where the call ends so.
+  bool is_believed(CallEnd end) const {
+    const auto kept = kept_answer();
+    if (!kept || disputed_) return false;
+    const AnswerKinds kinds(*kept, is_batch_);
+    return std::ranges::all_of(transmissions_,
+                               [&](const auto& item) { return verdict_of(kinds, item, end).believed; });
   }
 
   Millis believed_at() const {
-    const auto result = unproven_result();
-    const bool is_delivery = result == TransmissionResult::answered && !unproven_answer_.empty();
+    const auto kept = kept_answer();
+    if (!kept) return written_at_;
+    const AnswerKinds kinds(*kept, is_batch_);
+    const Millis answer_time = unproven_at_ - written_at_;
     Millis patience = 0;
     for (const auto& item : transmissions_)
-      patience =
-          std::max(patience, owner_.believe_after({item.doc, item.transmission, unproven_at_ - written_at_,
-                                                   result == TransmissionResult::refused ||
-                                                       result == TransmissionResult::not_sent,
-                                                   is_delivery && deliveries_differ()}));
+      patience = std::max(patience, owner_.believe_after({item.doc, item.transmission, answer_time,
+                                                          kinds.of(item.id), deliveries_differ()}));
     return written_at_ + patience;
   }
 
+  static bool never_ran(const HttpResponse& answer) {
+    const auto result = judge_answer(kind_of(answer), CallEnd::proved_answer).result;
+    return result == TransmissionResult::refused || result == TransmissionResult::not_sent;
+  }
+
   bool deliveries_differ() const {
     constexpr int min_deliveries = 2;
     auto pool = owner_.pools_.find(endpoint_);
@@ -642,33 +697,27 @@
     if (at > owner_.loop_.now()) return belief_timer_.set(at);
     // A further answer has begun to come.
     if (!unproven_answer_.empty() && !stream_.received().empty()) return;
-    believe_unproven();
-  }
-
-  // At the end of the call's time a refusal that is not proved is no proof that the call never ran.
-  bool unproven_may_end_call() const {
-    if (unproven_answer_.empty() && (stream_.received().empty() || unproven_at_ < written_at_)) return false;
-    const auto result = unproven_result();
-    return result != TransmissionResult::refused && result != TransmissionResult::not_sent;
+    believe_unproven(CallEnd::believed_answer);
   }
 
   // No other answer has come in time.
-  void believe_unproven() {
+  void believe_unproven(CallEnd end) {
     if (transmissions_.empty() || finished_by_pending_input()) return;
+    if (disputed_) return abort(TransmissionResult::connection_lost);
     ++owner_.answer_counts_.unproven;
     unproven_ = true;
     if (unproven_answer_.empty()) {
       auto answer = parse_response(stream_.received(), max_body_bytes, false);
-      if (answer.status == 200) finish_answer(answer, true, false);
+      if (answer.status == 200) finish_answer(answer, end, true, false);
       return;
     }
     const std::string bytes = std::exchange(unproven_answer_, {});
     const auto answer = parse_response(bytes, max_body_bytes, false);
-    if (disputed_) return abort(TransmissionResult::connection_lost);
     remember_delivered(answer);
-    process_response(answer);
+    process_response(answer, end);
     remember(bytes, answer);
     if (!stream_.received().empty()) return read_unexpected(false);
+    if (answer.closes_connection) return owner_.discard(*this, EndpointCloseReason::closed_by_answer);
     release();
   }
 
@@ -694,22 +743,15 @@
         transmissions_.empty() ? "none" : transmissions_[0].id.c_str());
   }
 
-  void process_response(const HttpResponse& answer) {
+  void process_response(const HttpResponse& answer, CallEnd end) {
     const Millis wait = retry_after_of(answer);
     LoadHints hints;
     try {
       if (auto text = answer.header("Server-Load"); !text.empty()) hints = parse_hints(text, '=');
     } catch (const ParseError& fault) { log_invalid_header(fault); }
-    auto all = result_of(answer);
     connection_closed_ = answer.closes_connection;
-    if (!is_batch_ || answer.status != 200) return finish_all(all, wait, hints);
-    const auto results = listed_results(answer);
-    auto result_of_item = [&](const InFlightTransmission& item) {
-      auto found = results.find(item.id);
-      // A document missing from the answer may have run.
-      return found == results.end() ? CallResult{TransmissionResult::error, false} : found->second;
-    };
-    finish_each(result_of_item, wait, hints);
+    const AnswerKinds kinds(answer, is_batch_);
+    finish_each([&](const InFlightTransmission& item) { return verdict_of(kinds, item, end); }, wait, hints);
   }
 
   Endpoints& owner_;
@@ -727,7 +769,8 @@
   bool retired_ = false;         // carries no further call
   Millis last_deadline_ = 0;     // of the last call
   bool disputed_ = false;        // unproven answers to this call differ: it may have run
-  bool recorded_ = false;        // the store has this call as begun, and it is not written yet
+  std::set<std::string> ended_by_earlier_;  // documents of this call, by unproven answers before the last one
+  bool recorded_ = false;                   // the store has this call as begun, and it is not written yet
   std::vector<InFlightTransmission> delivered_unproven_;  // by the last unproven answer
   std::vector<InFlightTransmission> transmissions_;
   std::string request_;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -70,7 +70,8 @@
     Millis unproven_at = 0;
     AnswerHistory::Snapshot history;
     bool is_batch = false, deferred = false, connection_closed = false, draining = false;
-    bool answers_alike = false;
+    bool answers_alike = false, retired = false, disputed = false;
+    std::vector<std::string> ended_by_earlier;  // ids
     Millis started_at = 0, written_at = 0, idle_since = 0, connection_idle_time = 0;
   };
   std::vector<ConnectionSnapshot> snapshot() const;
@@ -91,6 +92,8 @@
   std::function<void(DocId, int, Millis)> on_wait_told_early = [](DocId, int, Millis) {};
   // How long after its call was written an unproven answer is believed.
   std::function<Millis(const UnprovenAnswer&)> believe_after = [](const UnprovenAnswer&) { return 0; };
+  // An answer without proof says that the document is over, or (false) it was the answer to another call.
+  std::function<void(DocId, bool may_be_over)> on_unproven_end = [](DocId, bool) {};
   std::function<void(EndpointId)> on_copied_answer = [](EndpointId) {};
   // A Retry-After in an answer that belongs to no call that is out.
   std::function<void(EndpointId, Millis)> on_wait_told = [](EndpointId, Millis) {};
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -29,7 +29,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 2;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 3;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
@@ -405,7 +405,10 @@
                                         one.history.answers,
                                         one.history.in_step,
                                         one.answers_alike,
-                                        one.history.has_refusal}));
+                                        one.history.has_refusal,
+                                        one.retired,
+                                        one.disputed,
+                                        one.ended_by_earlier}));
   }
   Json::to_cbor(all, payload.state);
   log_line("event=handover_state side=old %s", counts.text().c_str());
@@ -465,6 +468,8 @@
     snapshot.history.answers = one.at(17).get<int>(), snapshot.history.in_step = one.at(18).get<bool>();
     snapshot.answers_alike = one.at(19).get<bool>();
     snapshot.history.has_refusal = one.at(20).get<bool>();
+    snapshot.retired = one.at(21).get<bool>(), snapshot.disputed = one.at(22).get<bool>();
+    snapshot.ended_by_earlier = one.at(23).get<std::vector<std::string>>();
     for (const auto& item : one.at(4))
       snapshot.transmissions.push_back({item.at(0).get<DocId>(), item.at(1).get<int>(),
                                         item.at(2).get<double>(), item.at(3).get<std::string>()});
@@ -552,12 +557,21 @@
                    outcome.result == TransmissionResult::not_sent;
   if (fleet_) fleet_->on_outcome(outcome);  // while the document is still in the store
   if (store_.documents().count(outcome.doc)) {
-    if (outcome.completed) store_.remove(outcome.doc);
-    else if (never_ran) store_.record_never_ran(outcome.doc, outcome.transmission);
+    if (outcome.end == DocumentEnd::over) {
+      if (never_ran) log_over(outcome);
+      store_.remove(outcome.doc);
+    } else if (never_ran) store_.record_never_ran(outcome.doc, outcome.transmission);
   }
   decision_->outcome(outcome);
 }
 
+// The endpoint ended the document: nothing is owed to its client.
+void Relay::log_over(const Outcome& outcome) const {
+  log_line("event=over message=%llu attempt=%d connection=%llu calls_before=%d id=%s",
+           0ULL + static_cast<std::uint64_t>(outcome.doc), outcome.transmission, 0ULL + outcome.connection,
+           outcome.calls_before, store_.documents().at(outcome.doc).id.c_str());
+}
+
 void Relay::end_document(DocId doc, bool rejected, Millis wait) {
   if (!store_.documents().count(doc)) return;
   // Another relay may own it by now. Its end is deferred until that is known, and not announced in that case.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -57,6 +57,7 @@
   void enqueue(const EnqueueCommand& command, ReplyTo reply_to);
   void on_outcome(const Outcome& outcome);
   void log_decision(const LogLine& line) const;
+  void log_over(const Outcome& outcome) const;
   void apply_endpoint_list(const EndpointListUpdate& list);
   SendPermission may_write(DocId doc, int transmission);
   Millis view_age() const;  // since all that had arrived was read
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -227,7 +227,7 @@
       for (auto at = pending_.begin(); at != pending_.end(); ++at)
         if (at->second.doc == c.doc && at->second.transmission == c.transmission) {
           Outcome o = at->second;
-          o.result = TransmissionResult::canceled, o.completed = false, o.retry_after = 0;
+          o.result = TransmissionResult::canceled, o.end = DocumentEnd::none, o.retry_after = 0;
           pending_.erase(at);
           pending_.emplace(now_ + settings_.tick, o);
           break;
@@ -336,9 +336,10 @@
         pending_.erase(pending_.begin());
         DocState& state = doc_states_.at(o.doc);
         --state.in_flight;
-        o.completed = state.ended || o.result == TransmissionResult::answered;
+        const bool is_over = state.ended || o.result == TransmissionResult::answered;
+        o.end = is_over ? DocumentEnd::over : DocumentEnd::none;
         if (o.result == TransmissionResult::answered && !state.ended) event_times_["answered"][o.doc] = now_;
-        state.ended = o.completed;
+        state.ended = is_over;
         if (o.result != TransmissionResult::refused && o.result != TransmissionResult::not_connected)
           state.may_have_run = true;
         if (o.result == TransmissionResult::timed_out || o.result == TransmissionResult::connection_lost)
