Record at once that a document may be over, so that the next process does not call it either

What callers would see: a 410 that was read and kept, then SIGKILL or a planned restart: the next process finds the call in doubt and calls again. Cause: the kept answer lived in the connection alone. Change: a record of kind M says that a document may be over, or no longer so where a proved answer follows; a start ends such a document with a report and sends nothing. At a planned end answers that have arrived unread are read before the process stops.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -90,6 +90,10 @@
     begin_turn();
     return decision_->believe_after(answer);
   };
+  endpoints_.on_unproven_end = [this](DocId doc, bool may_be_over) {
+    begin_turn();
+    store_.record_may_be_over(doc, may_be_over);
+  };
   endpoints_.on_copied_answer = [this](EndpointId endpoint) {
     begin_turn();
     decision_->note_copied_answer(endpoint);
@@ -307,7 +311,7 @@
     if (type == config_.doc_types.end()) return end_document(doc, false, 0);
     stored.type = type->second, stored.max_transmissions = config_.settings.max_transmissions;
   }
-  if (!stored.ended) {
+  if (!stored.ended && !stored.may_be_over) {
     Document document = to_document(stored, doc, EventLoop::wall_time());
     document.recovered = true;
     return decision_->accept(document);
@@ -317,6 +321,8 @@
     ended.ended = true;
     decision_->accept(ended);
   }
+  // It is not sent again, and a report on a document that is over does no harm.
+  if (!stored.ended) return end_document(doc, false, 0);
   // The process before may have handed over an end that it could not record.
   if (taken_over_) unreported_ends_[doc] = {stored.rejected, stored.reject_retry_after};
   else reports_.report(doc, stored.id, stored.rejected, stored.reject_retry_after);
@@ -979,7 +985,8 @@
       endpoints_.no_calls_in_flight() && reports_.all_acknowledged() && store_.documents().empty();
   bool done = clients_closed && all_delivered;
   if (done || now >= shutdown_deadline_) {
-    // A document read in this round still gets its reply.
+    // A document read in this round still gets its reply, and an answer that has arrived still counts.
+    endpoints_.read_pending();
     if (turn_open_) end_turn();
     return loop_.stop();
   }
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -40,6 +40,7 @@
 constexpr char never_ran_kind = 'N';
 constexpr char ended_kind = 'E';
 constexpr char removed_kind = 'F';
+constexpr char may_be_over_kind = 'M';
 constexpr char fleet_id_kind = 'C';
 constexpr char offline_kind = 'O';
 constexpr char online_kind = 'B';
@@ -406,6 +407,10 @@
   append_and_apply(ended_kind, doc, payload);
 }
 
+void Store::record_may_be_over(DocId doc, bool may_be_over) {
+  append_and_apply(may_be_over_kind, doc, std::string(1, static_cast<char>(may_be_over)));
+}
+
 void Store::remove(DocId doc) { append_and_apply(removed_kind, doc, {}); }
 
 void Store::append_and_apply(char kind, DocId doc, std::string_view payload, int transmission) {
@@ -474,6 +479,7 @@
     bytes += make_record(document_kind, doc, encode(document));
     if (!document.fleet_id.empty())
       bytes += make_record(fleet_id_kind, doc, encode_string(document.fleet_id));
+    if (document.may_be_over) bytes += make_record(may_be_over_kind, doc, std::string(1, 1));
   }
   for (const auto& [name, text] : metadata_)
     bytes += make_record(metadata_kind, DocId{}, encode_metadata(name, text));
@@ -590,6 +596,8 @@
     document.ended = true, document.rejected = reader.number<char>() != 0;
     document.reject_retry_after = reader.number<double>();
     document.body.clear();
+  } else if (kind == may_be_over_kind) {
+    document.may_be_over = reader.number<char>() != 0;
   } else if (kind == removed_kind) {
     live_bytes_ -= document.record_bytes;
     if (auto known = by_id_.find(document.id); known != by_id_.end() && known->second == doc)
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -33,6 +33,7 @@
   int transmissions = 0;
   std::vector<Transmission> in_doubt;  // transmissions that are under way or may have run
   bool ended = false;                  // rejected or abandoned, and the notice is not acknowledged yet
+  bool may_be_over = false;            // by an answer that is not proved to be that of its call
   bool rejected = false;
   Millis reject_retry_after = 0;
   std::string fleet_id;          // the fleet's id of the document, opaque here; empty: not known to the fleet
@@ -77,6 +78,7 @@
   void record_transmission(DocId doc, int transmission, Millis sent_at, ZoneId zone);
   void record_never_ran(DocId doc, int transmission);
   void record_ended(DocId doc, bool rejected, Millis wait);
+  void record_may_be_over(DocId doc, bool may_be_over);
   void remove(DocId doc);  // the document is complete
   // Endpoints that staff have taken offline, by their names in the list. False: it could not be written, and
   // nothing has changed.
