--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -644,13 +644,15 @@
     belief_timer_.set(believed_at());
   }
 
-  // The answer that came to the call that is out and is not believed yet: whole, or the first bytes of a 200.
+  // The answer that came to the call that is out and is not believed yet: whole, or the first line of one
+  // that ends its document.
   std::optional<HttpResponse> kept_answer() const {
     if (transmissions_.empty()) return {};
     if (!unproven_answer_.empty()) return parse_response(unproven_answer_, max_body_bytes, false);
-    if (is_batch_ || stream_.received().empty() || unproven_at_ < written_at_) return {};
+    if (is_batch_ || stream_.received().empty()) return {};
     auto begun = parse_response(stream_.received(), max_body_bytes, false);
-    if (begun.status != 200) return {};
+    const bool is_kept_delivery = begun.status == 200 && unproven_at_ >= written_at_;
+    if (!is_kept_delivery && kind_of(begun) != AnswerKind::over) return {};
     return begun;
   }
 
