Trial part answers: the protocol's whole table, documents that endpoints end, ends behind answers

The check 'withdrawn': no call of a document whose 410 a running process has had for 250 ms, by the next process neither; stops and kills are no excuse, a folder that could not be written is. It finds a planted violation.

--- a/src/trial/auditor.cpp
+++ b/src/trial/auditor.cpp
@@ -507,6 +507,7 @@
                  id + " was ended (" + notice.status + ") by " + notice.relay + " and then sent by " +
                      call.relay,
                  {id}, doc.submitted_at, call.received_at);
+    check_withdrawn(doc);
     if (to_subscriber(doc)) return;
     for (const auto& accepted : doc.calls) {
       if (accepted.status != 200 || !answer_was_read(accepted)) continue;
@@ -526,6 +527,24 @@
     }
   }
 
+  // A document that its endpoint has ended is not called again, by the next process neither: stops, kills and
+  // starts are no excuse once a running process has read the answer. A folder that could not be written is.
+  void check_withdrawn(const Document& doc) {
+    for (const auto& ended : doc.calls) {
+      if (ended.status != 410 || !answer_was_read(ended)) continue;
+      for (const auto& call : doc.calls) {
+        const bool read_before = call.started_at > ended.answered_at + answer_read_time;
+        const bool record_may_be_lost =
+            call.incarnation != ended.incarnation &&
+            (disk_was_full(ended.relay) || folder_was_lost(ended.relay, doc.submitted_at, call.received_at));
+        if (read_before && call.relay == ended.relay && !record_may_be_lost)
+          report("withdrawn",
+                 doc.id + " was ended by its endpoint (410) and then sent again by " + call.relay, {doc.id},
+                 doc.submitted_at, call.received_at);
+      }
+    }
+  }
+
   // A non-repeatable document is sent again, or given back to the client, only if every earlier call surely
   // did not run. Faults are no excuse, unless all copies of the information were lost with folders.
   void check_effects() {
--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -180,6 +180,8 @@
   void handle_call_data(const std::string& name, const std::string& relay_name, std::uint64_t socket_id);
   void handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock, const std::string& head,
                    const std::string& body, Millis started_at);
+  std::string status_for(const std::string& id, const std::string& behaviour, bool mixed);
+  static const char* item_state(const std::string& status);
   void copy_answer(Endpoint& endpoint, std::uint64_t socket_id, const std::string& answer);
   void write_copy(std::uint64_t socket_id, const PendingCopy& copy, Millis delay);
   bool agent_fails_report(Socket& sock);
@@ -196,6 +198,8 @@
   std::int64_t revision_ = 1;
   std::map<std::string, std::map<std::string, Client>> clients_;
   std::map<std::string, Document> documents_;
+  // Documents that an endpoint has ended for good: each further call gets the same answer.
+  std::set<std::string> withdrawn_, spent_;
   std::map<Pair, int> proxy_ports_;
   std::map<Pair, LinkSetting> link_states_;
   std::map<Pair, std::vector<ProxiedDirection>> proxied_;  // by the direction of the bytes
--- a/src/trial/harness_endpoints.cpp
+++ b/src/trial/harness_endpoints.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
 
 #include "settings/base64.h"
+#include "settings/settings.h"
 #include "trial/harness.h"
 #include "trial/messages.h"
 
@@ -130,15 +132,21 @@
     return event_loop_.close(sock, true);
   }
   std::string answer_body, headers;
-  if (batch && behaviour == "200") {
+  std::vector<std::string> item_statuses;
+  for (const auto& item : items)
+    item_statuses.push_back(status_for(item.id, behaviour, how.count("states") > 0));
+  const bool lists_items = batch && behaviour == "200";
+  if (lists_items) {
     auto states = Json::array();
-    for (const auto& item : items) states.push_back({{"id", item.id}, {"state", "ok"}});
+    for (std::size_t i = 0; i < items.size(); ++i)
+      states.push_back({{"id", items[i].id}, {"state", item_state(item_statuses[i])}});
     answer_body = states.dump();
   }
   if (endpoint.copies.count("unique") && !batch && behaviour == "200")
     answer_body = "answer to " + items[0].id;
   if (how.count("wait")) headers = "Retry-After: " + how["wait"] + "\r\n";
-  const auto status = behaviour == "shut" ? std::string("503") : behaviour;
+  if (how.count("busy")) headers = "X-Line-Busy: 1\r\n";
+  const auto status = lists_items ? std::string("200") : item_statuses[0];
   bool cut = how.count("cut") > 0;
   auto answer = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
   if (cut) answer.resize(answer.size() - 5);
@@ -147,10 +155,11 @@
   auto answer_at = now() + number(how, "after", 0);
   if (auto last_piece = last_piece_at_.extract(socket_id))
     answer_at = std::max(answer_at, last_piece.mapped() + 1);
-  event_loop_.schedule(answer_at, [=, this] {
+  event_loop_.schedule(answer_at, [=, this]() mutable {
     event_loop_.update_clock();  // a wait counts from the write
     Socket* open_socket = event_loop_.find(socket_id);
-    for (const auto& item : items) {
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      const auto& item = items[i];
       if (!open_socket) {
         record("broke", {{"e", name}, {"r", relay_name}, {"id", item.id}});  // the caller has disconnected
         continue;
@@ -158,19 +167,39 @@
       std::vector<std::pair<std::string, std::string>> fields{
           {"e", name},       {"dest", std::to_string(endpoints_.at(name).dest)},
           {"r", relay_name}, {"conn", std::to_string(socket_id)},
-          {"id", item.id},   {"status", status}};
+          {"id", item.id},   {"status", item_statuses[i]}};
       if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
       record("answer", std::move(fields));
       if (auto found = documents_.find(item.id);
-          found != documents_.end() && (behaviour == "200" || behaviour == "410"))
+          found != documents_.end() && (item_statuses[i] == "200" || item_statuses[i] == "410"))
         found->second.ended = true;
     }
     if (open_socket) event_loop_.send(*open_socket, answer);
     if (open_socket && !cut) copy_answer(endpoints_.at(name), socket_id, answer);
-    if (open_socket && cut) event_loop_.close(*open_socket);
+    const bool closes = cut || how.count("close") || how.count("reset");
+    if (open_socket && closes) event_loop_.close(*open_socket, how.count("reset") > 0);
   });
 }
 
+// The status for one document of a call; with mixed: each of those that an answer to several can list.
+std::string Harness::status_for(const std::string& id, const std::string& behaviour, bool mixed) {
+  static const char* const statuses[] = {"200", "200", "500", "503", "410", "504"};
+  std::string status = behaviour == "shut" ? "503" : behaviour;
+  if (mixed && behaviour == "200") status = statuses[fnv1a_hash(id) % std::size(statuses)];
+  if (withdrawn_.count(id)) return "410";
+  if (spent_.count(id)) return "504";
+  if (status == "410") withdrawn_.insert(id);
+  if (status == "504") spent_.insert(id);
+  return status;
+}
+
+const char* Harness::item_state(const std::string& status) {
+  if (status == "200") return "ok";
+  if (status == "410") return "gone";
+  if (status == "504") return "exhausted";
+  return status == "503" ? "later" : "error";
+}
+
 void Harness::copy_answer(Endpoint& endpoint, std::uint64_t socket_id, const std::string& answer) {
   const int every = static_cast<int>(number(endpoint.copies, "every", 0));
   if (every == 0 || ++endpoint.answers % every != 0) return;
--- a/src/trial/injected_violations.cpp
+++ b/src/trial/injected_violations.cpp
@@ -140,6 +140,15 @@
          return true;
        }},
       {"after-end", [](Log& log) { return insert_later_call(log, "plain", 600); }},
+      {"withdrawn",
+       [](Log& log) {
+         auto found = find_answered(log, "plain");
+         if (!found) return false;
+         for (auto& entry : log)
+           if (entry.matches("answer", {{"id", found->call.field("id")}})) entry.set("status", "410");
+         insert(log, found->call, found->answer.at + 600);
+         return true;
+       }},
       {"effect-twice", [](Log& log) { return insert_later_call(log, "binding", 20); }},
       {"window",
        [](Log& log) {
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -75,8 +75,9 @@
   if (!(arguments.seconds >= 2 && arguments.seconds <= 600)) reject("--seconds must be from 2 to 600");
   if (!arguments.part.empty() && arguments.part != "fleet" && arguments.part != "documents" &&
       arguments.part != "warm" && arguments.part != "latest" && arguments.part != "cold" &&
-      arguments.part != "crowded" && arguments.part != "waits" && arguments.part != "copies")
-    reject("--part must be fleet, documents, warm, latest, cold, crowded, waits or copies, not '" +
+      arguments.part != "crowded" && arguments.part != "waits" && arguments.part != "copies" &&
+      arguments.part != "answers")
+    reject("--part must be fleet, documents, warm, latest, cold, crowded, waits, copies or answers, not '" +
            arguments.part + "'");
   if (!arguments.violation.empty()) {
     auto names = violation_names();
@@ -134,19 +135,21 @@
   std::optional<Scene> scene;
   const bool crowded = arguments.part == "crowded";
   const bool cold = arguments.scene.empty() && (crowded || arguments.part == "cold");
-  const bool copies = arguments.scene.empty() && arguments.part == "copies";
-  const bool waits = copies || (arguments.scene.empty() && arguments.part == "waits");
+  const AnswerFaults answer_faults = arguments.part == "copies"    ? AnswerFaults::copies
+                                     : arguments.part == "answers" ? AnswerFaults::statuses
+                                                                   : AnswerFaults::none;
+  const bool waits =
+      arguments.scene.empty() && (answer_faults != AnswerFaults::none || arguments.part == "waits");
   const ColdReturnLoad& cold_return_load = crowded ? crowded_load : cold_load;
   if (cold) set_up_cold_returns(setup, cold_return_load);
   else if (waits) set_up_wait_soak(setup);
   else if (arguments.scene.empty()) set_up_random_trial(setup, arguments.part);
   else scene.emplace(arguments.scene), scene->set_up(setup);
   Harness harness(setup);
-  auto failed =
-      scene   ? scene->play(harness)
-      : cold  ? play_cold_returns(harness, cold_return_load)
-      : waits ? play_wait_soak(harness, arguments.seconds, copies ? AnswerCopies::drawn : AnswerCopies::none)
-              : play_random_trial(harness, arguments.part, arguments.seconds);
+  auto failed = scene   ? scene->play(harness)
+                : cold  ? play_cold_returns(harness, cold_return_load)
+                : waits ? play_wait_soak(harness, arguments.seconds, answer_faults)
+                        : play_random_trial(harness, arguments.part, arguments.seconds);
   if (!arguments.violation.empty() && failed.empty()) mutate_log(arguments.violation, harness.log());
   if (!arguments.log.empty()) std::ofstream(arguments.log) << format_log(harness.log());
   auto description = scene ? "scene " + arguments.scene
--- a/src/trial/wait_soak.cpp
+++ b/src/trial/wait_soak.cpp
@@ -30,13 +30,14 @@
 
 class WaitSoak {
  public:
-  WaitSoak(Harness& harness, double seconds, AnswerCopies copies)
+  WaitSoak(Harness& harness, double seconds, AnswerFaults faults)
       : names_(harness.relay_names()), duration_(seconds * 1000), random_(harness.setup().seed) {
     draw_refusals();
     draw_faults();
     draw_crowd();
     draw_load();
-    if (copies == AnswerCopies::drawn) draw_copies();
+    if (faults == AnswerFaults::copies) draw_copies();
+    if (faults == AnswerFaults::statuses) draw_statuses();
   }
   Schedule& schedule() { return schedule_; }
 
@@ -96,6 +97,24 @@
     });
   }
 
+  // Answers of each status, at once or late, by some calls each, some with an end of the connection behind
+  // them.
+  void draw_statuses() {
+    static const char* const statuses[] = {"410", "410", "410", "504", "500", "503", "400", "413", "200"};
+    for (Millis at = 30; at < fault_end(); at += between(30, 400)) {
+      const auto& endpoint = endpoints[below(static_cast<int>(std::size(endpoints)))];
+      Options how{{"manner", statuses[below(static_cast<int>(std::size(statuses)))]},
+                  {"after", std::to_string(below(3) ? below(30) : below(900))},
+                  {"times", std::to_string(1 + below(12))}};
+      if (how["manner"] == "503" && below(2)) how["busy"] = "1";
+      if (how["manner"] == "200") how["states"] = "1";
+      if (below(4) == 0) how[below(2) ? "close" : "reset"] = "1";
+      schedule_.add(at, [how, name = std::string(endpoint.name)](Harness& harness) {
+        harness.set_endpoint(name, how);
+      });
+    }
+  }
+
   void draw_faults() {
     int count = static_cast<int>(faults_per_second * fault_end() / 1000);
     for (int i = 0; i < count; ++i) {
@@ -169,12 +188,12 @@
 
 void set_up_wait_soak(Setup& setup) { setup.fleet = setup.share = false; }
 
-std::string play_wait_soak(Harness& harness, double seconds, AnswerCopies copies) {
+std::string play_wait_soak(Harness& harness, double seconds, AnswerFaults faults) {
   for (const auto& endpoint : endpoints)
     harness.set_endpoint(endpoint.name, {{"for", endpoint.destination}, {"kind", endpoint.kind}});
   for (const auto& relay : harness.relay_names())
     if (!harness.start(relay, {})) return relay + " does not answer; its log:\n" + harness.process_log(relay);
-  WaitSoak soak(harness, seconds, copies);
+  WaitSoak soak(harness, seconds, faults);
   soak.schedule().play(harness);
   for (const auto& relay : harness.relay_names()) {
     harness.resume(relay), harness.kill(relay);
--- a/src/trial/wait_soak.h
+++ b/src/trial/wait_soak.h
@@ -9,9 +9,11 @@
 namespace rockcrank::trial {
 
 void set_up_wait_soak(Setup& setup);
-// Whether endpoints and the agent also write answers twice.
-enum class AnswerCopies { none, drawn };
+// What endpoints do beside telling waits: nothing; they and the agent write answers twice; they answer with
+// the whole table of the protocol, for documents that are withdrawn or spent too, and end connections behind
+// an answer.
+enum class AnswerFaults { none, copies, statuses };
 // Returns what failed, or an empty string. The auditor judges the log.
-std::string play_wait_soak(Harness& harness, double seconds, AnswerCopies copies);
+std::string play_wait_soak(Harness& harness, double seconds, AnswerFaults faults);
 
 }  // namespace rockcrank::trial
