--- a/tests/crossings/answers_test.cpp
+++ b/tests/crossings/answers_test.cpp
@@ -185,9 +185,16 @@
   std::printf("%d combinations played, %d cannot be had\n", played, not_to_be_had);
 }
 
+std::string name_of_ending(const testing::TestParamInfo<Ending>& ending) {
+  static const char* const names[] = {"believed", "end_of_connection", "reset",
+                                      "time_out", "called_off",        "own_answer_follows"};
+  return names[static_cast<std::size_t>(ending.param)];
+}
+
 INSTANTIATE_TEST_SUITE_P(Endings, Answers,
                          testing::Values(Ending::believed, Ending::end_of_connection, Ending::reset,
-                                         Ending::time_out, Ending::called_off, Ending::own_answer_follows));
+                                         Ending::time_out, Ending::called_off, Ending::own_answer_follows),
+                         name_of_ending);
 
 }  // namespace
 }  // namespace rockcrank
