--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -17,6 +17,7 @@
 
 #include "decision/decision.h"
 #include "relay/answer_history.h"
+#include "relay/call_request.h"
 #include "relay/http.h"
 #include "relay/loop.h"
 
@@ -36,13 +37,6 @@
 constexpr std::size_t endpoint_close_reason_count = 8;
 const char* name_of(EndpointCloseReason reason);
 
-struct OutboundTransmission {
-  DocId doc{};
-  int transmission = 0;
-  Millis deadline = 0;                         // of its answer
-  std::string_view id, idempotency_key, body;  // of the stored document; copied into the request
-};
-
 class Endpoints {
  public:
   struct Limits {
