Record a 410 from its first line on, so that a kill before its end forgets nothing

What callers would see: the first line of a 410 was read, the process killed before the body's end, and the next process called the message again. Cause: only a whole answer that was kept wrote the record that a document may be over. Change: the first line of a single call's 410 writes the record. The record is taken back for each kept answer that a proved one disproves, and not for the last one alone; a message whose two kept answers were copies would have ended early after a kill (read only).

--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -62,6 +62,7 @@
     set_callbacks();
     start_connect_timer();
     if (!transmissions_.empty()) {
+      restore_recorded_ends();
       start_call_timer();
       if (!unproven_answer_.empty()) belief_timer_.set(owner_.loop_.now());
     } else if (draining_) timer_.set(owner_.loop_.now() + drain_timeout);
@@ -113,7 +114,7 @@
     started_at_ = owner_.loop_.now();
     connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
     wait_reported_ = unproven_ = disputed_ = false;
-    ended_by_earlier_.clear();
+    ended_by_earlier_.clear(), recorded_ends_.clear();
     report_preconnect(PreconnectEvent::used);
     const Millis deadline = call_deadline(transmissions);
     for (const auto& sent : transmissions)
@@ -379,6 +380,7 @@
     // never end don't delay the outcome.
     bool is_decided = !is_batch_ && answer.status == 200;
     if (!complete && !draining_) report_wait_early(answer);
+    if (partial && !draining_) record_begun_end(answer);
     if (partial && (!is_decided || draining_)) return false;
     // Any other answer that cannot be read completely is ignored: its status line may be corrupt too.
     if (!complete && !is_decided) return abort(TransmissionResult::connection_lost), false;
@@ -511,6 +513,7 @@
   }
 
   void drop_copy(const HttpResponse& answer) {
+    if (unproven_answer_.empty()) withdraw_recorded_ends();
     note_copy(answer.status);
     stream_.consume(answer.size);
   }
@@ -518,7 +521,7 @@
   void drop_unproven() {
     const auto answer = parse_response(unproven_answer_, max_body_bytes, false);
     note_copy(answer.status);
-    record_unproven_ends(AnswerKinds(answer, is_batch_), false);
+    withdraw_recorded_ends();
     ended_by_earlier_.clear();
     unproven_answer_.clear();
   }
@@ -549,15 +552,30 @@
     const AnswerKind kind = kind_of(answer);
     const bool is_logged = is_batch_ || kind == AnswerKind::over || kind == AnswerKind::attempts_spent;
     if (is_logged) log_answer("answer_kept", answer.status);
-    record_unproven_ends(AnswerKinds(answer, is_batch_), true);
+    record_possible_ends(AnswerKinds(answer, is_batch_));
     stream_.consume(answer.size);
     belief_timer_.set(believed_at());
   }
 
   // The next process must know of an end that the call would not tell it.
-  void record_unproven_ends(const AnswerKinds& kinds, bool may_be_over) {
+  void record_possible_ends(const AnswerKinds& kinds) {
+    for (const auto& item : transmissions_)
+      if (must_be_recorded(kinds.of(item.id)) && recorded_ends_.insert(item.doc).second)
+        owner_.on_possible_end(item.doc, true);
+  }
+  // The first line of an answer to one document, whose rest this process may not live to read.
+  void record_begun_end(const HttpResponse& begun) {
+    if (!is_batch_ && begun.status > 0) record_possible_ends(AnswerKinds(begun, false));
+  }
+  void withdraw_recorded_ends() {
+    for (DocId doc : std::exchange(recorded_ends_, {})) owner_.on_possible_end(doc, false);
+  }
+  // The previous process has recorded them.
+  void restore_recorded_ends() {
+    if (unproven_answer_.empty()) return;
+    const AnswerKinds kinds(parse_response(unproven_answer_, max_body_bytes, false), is_batch_);
     for (const auto& item : transmissions_)
-      if (must_be_recorded(kinds.of(item.id))) owner_.on_unproven_end(item.doc, may_be_over);
+      if (must_be_recorded(kinds.of(item.id))) recorded_ends_.insert(item.doc);
   }
 
   void log_forgotten_answer(const HttpResponse& answer, TransmissionResult ending) const {
@@ -699,6 +717,7 @@
   Millis last_deadline_ = 0;     // of the last call
   bool disputed_ = false;        // unproven answers to this call differ: it may have run
   std::set<std::string> ended_by_earlier_;  // documents of this call, by unproven answers before the last one
+  std::set<DocId> recorded_ends_;           // documents of this call that the store has as perhaps over
   bool recorded_ = false;                   // the store has this call as begun, and it is not written yet
   std::vector<InFlightTransmission> delivered_unproven_;  // by the last unproven answer
   std::vector<InFlightTransmission> transmissions_;
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -87,7 +87,7 @@
   // How long after its call was written an unproven answer is believed.
   std::function<Millis(const UnprovenAnswer&)> believe_after = [](const UnprovenAnswer&) { return 0; };
   // An answer without proof says that the document is over, or (false) it was the answer to another call.
-  std::function<void(DocId, bool may_be_over)> on_unproven_end = [](DocId, bool) {};
+  std::function<void(DocId, bool may_be_over)> on_possible_end = [](DocId, bool) {};
   std::function<void(EndpointId)> on_copied_answer = [](EndpointId) {};
   // A Retry-After in an answer that belongs to no call that is out.
   std::function<void(EndpointId, Millis)> on_wait_told = [](EndpointId, Millis) {};
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -90,7 +90,7 @@
     begin_turn();
     return decision_->believe_after(answer);
   };
-  endpoints_.on_unproven_end = [this](DocId doc, bool may_be_over) {
+  endpoints_.on_possible_end = [this](DocId doc, bool may_be_over) {
     begin_turn();
     store_.record_may_be_over(doc, may_be_over);
   };
