Replicate that a document may be over, so that a takeover does not call it again

What callers would see: a relay kept a 410 that proves nothing yet and died; the replica that took its documents over called the message again. Cause: the record was in the owner's store alone. The relay that takes over reports the document and calls nothing.

--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -231,6 +231,8 @@
   // To be called before the transmission is sent.
   virtual void record_transmission(const GlobalDocId& id, int transmission, ZoneId zone) = 0;
   virtual void record_never_ran(const GlobalDocId& id, int transmission) = 0;
+  // The owner's record of the document has changed in a way that a relay which takes it over must know.
+  virtual void record_changed(const GlobalDocId& id, const std::string& record) = 0;
   // The document was rejected or abandoned, and its end is not yet reported.
   virtual void record_ended(const GlobalDocId& id, const std::string& record) = 0;
   // The document needs no further work.
--- a/src/fleet/custody_documents.cpp
+++ b/src/fleet/custody_documents.cpp
@@ -61,13 +61,24 @@
   append(*group, {EntryKind::transmission_never_ran, id.document_number, {transmission, 0, {}, 0}});
 }
 
+void LeaseBasedCustody::record_changed(const GlobalDocId& id, const std::string& record) {
+  auto [group, doc] = find_owned(id);
+  if (!doc || doc->state.ended) return;
+  replace_record(*group, *doc, record);
+  append(*group, {EntryKind::document, id.document_number, {}});
+}
+
+void LeaseBasedCustody::replace_record(Group& group, Doc& doc, const std::string& record) {
+  group.bytes -= doc.bytes();
+  doc.state.record = record;
+  group.bytes += doc.bytes();
+}
+
 void LeaseBasedCustody::record_ended(const GlobalDocId& id, const std::string& record) {
   auto [group, doc] = find_owned(id);
   if (!doc || doc->state.ended) return;
-  group->bytes -= doc->bytes();
-  doc->state.record = record;
+  replace_record(*group, *doc, record);
   doc->state.ended = true;
-  group->bytes += doc->bytes();
   doc->end_index = append(*group, {EntryKind::document, id.document_number, {}});
   if (!may_report_end(id)) group->held_ends.emplace_back(doc->end_index, id.document_number);
 }
--- a/src/fleet/lease_based_custody.h
+++ b/src/fleet/lease_based_custody.h
@@ -42,6 +42,7 @@
 
   void record_transmission(const GlobalDocId& id, int transmission, ZoneId zone) override;
   void record_never_ran(const GlobalDocId& id, int transmission) override;
+  void record_changed(const GlobalDocId& id, const std::string& record) override;
   void record_ended(const GlobalDocId& id, const std::string& record) override;
   void remove(const GlobalDocId& id) override;
 
@@ -67,6 +68,7 @@
   Group& get_or_create_owned_group(GroupId id);
   Doc& put_document(Group& group, const DocumentState& document);
   void erase_document(Group& group, std::uint64_t number);
+  static void replace_record(Group& group, Doc& doc, const std::string& record);
   DocumentState state_of(const Doc& doc) const;
   std::pair<Group*, Doc*> find_owned(const GlobalDocId& id);
   const Doc* find_document(const GlobalDocId& id) const;
--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -126,6 +126,7 @@
     const StoredDocument& document = store_.documents().at(doc);
     if (kind == 'S') custody_->record_transmission(fleet_id, transmission, document.in_doubt.back().zone);
     if (kind == 'N') custody_->record_never_ran(fleet_id, transmission);
+    if (kind == 'M') custody_->record_changed(fleet_id, Store::encode(document));
     if (kind == 'E') custody_->record_ended(fleet_id, Store::encode(document));
     if (kind == 'F') forget(doc), custody_->remove(fleet_id);
     schedule_turn();
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -135,6 +135,7 @@
   if (with_type) document.type = reader.type(), document.max_transmissions = reader.number<std::int32_t>();
   document.rejected = reader.number<char>() != 0;
   document.reject_retry_after = reader.number<double>();
+  if (!reader.remaining().empty()) document.may_be_over = reader.number<char>() != 0;
   return document;
 }
 
@@ -348,6 +349,7 @@
   append_type(payload, document.type);
   append_number(payload, static_cast<std::int32_t>(document.max_transmissions));
   append_end(payload, document.rejected, document.reject_retry_after);
+  if (document.may_be_over) append_number(payload, static_cast<char>(true));
   return payload;
 }
 
@@ -479,7 +481,6 @@
     bytes += make_record(document_kind, doc, encode(document));
     if (!document.fleet_id.empty())
       bytes += make_record(fleet_id_kind, doc, encode_string(document.fleet_id));
-    if (document.may_be_over) bytes += make_record(may_be_over_kind, doc, std::string(1, 1));
   }
   for (const auto& [name, text] : metadata_)
     bytes += make_record(metadata_kind, DocId{}, encode_metadata(name, text));
