Trial part transport: answers late, in pieces, stalled, or cut at any byte on their way

Cause: drawn trials wrote each answer in one piece, whole or five bytes short, so none could show a fault between an answer's first and last byte. An answer is logged when its deciding byte is written (the first line of a single 200 or 410, else the last byte), and as broken where that never happens. handle_call is in short functions now; part names stand once.

--- a/src/trial/event_loop.cpp
+++ b/src/trial/event_loop.cpp
@@ -102,6 +102,8 @@
   sockets_.erase(found);
 }
 
+void EventLoop::finish_sending(Socket& sock) { shutdown(sock.fd, SHUT_WR); }
+
 void EventLoop::handle_closed(Socket& sock) {
   auto callback = sock.on_closed;
   close(sock);
--- a/src/trial/event_loop.h
+++ b/src/trial/event_loop.h
@@ -50,6 +50,7 @@
   Socket* connect(const Address& address);  // a failure is reported later through on_closed
   void send(Socket& sock, std::string_view bytes);
   void close(Socket& sock, bool reset = false);
+  void finish_sending(Socket& sock);  // half-closes it; it is still read
   void schedule(Millis when, std::function<void()> callback);
   void run_once(Millis max_wait);
 
--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -8,9 +8,11 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trial/event_loop.h"
@@ -58,6 +60,10 @@
   // next call on its connection; times= further copies; pieces=1: one byte at a time; unique=1: each 200 has
   // a body of its own. Empty: it stops.
   void set_copies(const std::string& name, const Options& how) { endpoints_.at(name).copies = how; }
+  // What happens to each Nth answer (every= N) on its way: it goes in pieces of piece= bytes, gap= ms apart;
+  // after the share at= of its bytes comes fault=: stall (stall= ms, then the rest), close, reset or
+  // half_close. Empty: nothing.
+  void set_transport(const std::string& name, const Options& how) { endpoints_.at(name).transport = how; }
   // The agent writes each Nth acknowledgement of reports twice, and fails the request after it. 0: it stops.
   void set_agent_copies(int every) { agent_copies_every_ = every; }
   void set_listed_state(const std::string& name, const std::string& state);
@@ -128,12 +134,33 @@
     std::string name, zone, state = "Ready";
     int dest = 0, kind = 0;
     double rate = 1;
-    Options how, copies;
+    Options how, copies, transport;
     int times = -1;                                  // remaining calls that `how` applies to; negative: all
     std::map<std::string, std::uint64_t> listeners;  // by relay, which identifies the caller
     std::map<std::string, int> ports;
     bool failing = false;
-    int answers = 0;
+    int answers = 0, transported = 0;
+  };
+  struct CalledDocument {
+    std::string id, idempotency_key, body;
+  };
+  struct Answer {
+    struct Document {
+      std::string id, status;
+    };
+    std::string endpoint, relay;
+    std::uint64_t socket_id = 0;
+    std::vector<Document> documents;
+    bool lists_items = false;  // the states of the documents of a batch
+    std::string bytes;
+    Options how;
+  };
+  struct TransportedAnswer : Answer {
+    TransportedAnswer(Answer answer, Options faults)
+        : Answer(std::move(answer)), transport(std::move(faults)) {}
+    Options transport;
+    std::size_t written = 0;
+    bool is_recorded = false, is_past_fault = false;
   };
   struct PendingCopy {  // of an answer, written while the next call of its connection is out
     std::string answer;
@@ -180,6 +207,17 @@
   void handle_call_data(const std::string& name, const std::string& relay_name, std::uint64_t socket_id);
   void handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock, const std::string& head,
                    const std::string& body, Millis started_at);
+  static std::vector<CalledDocument> documents_of(const std::string& head, const std::string& body);
+  void record_calls(const Endpoint& endpoint, const std::string& relay_name, const Socket& sock,
+                    const std::vector<CalledDocument>& items, Millis started_at);
+  Answer make_answer(Endpoint& endpoint, const std::vector<CalledDocument>& items, bool is_batch,
+                     const Options& how);
+  void record_answer(const Answer& answer);
+  void record_broken(const Answer& answer);
+  void write_answer(const Answer& answer);
+  static std::size_t deciding_bytes(const Answer& answer);
+  void write_piece(const std::shared_ptr<TransportedAnswer>& answer);
+  void play_transport_fault(const std::shared_ptr<TransportedAnswer>& answer, Socket& sock);
   std::string status_for(const std::string& id, const std::string& behaviour, bool mixed);
   static const char* item_state(const std::string& status);
   void copy_answer(Endpoint& endpoint, std::uint64_t socket_id, const std::string& answer);
--- a/src/trial/harness_endpoints.cpp
+++ b/src/trial/harness_endpoints.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 constexpr Millis piece_interval = 0.2;
+constexpr const char* batch_request_line = "POST /v1/messages:batch ";
 }  // namespace
 
 void Harness::open_endpoint(Endpoint& endpoint) {
@@ -88,22 +89,18 @@
   }
 }
 
-void Harness::handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock,
-                          const std::string& head, const std::string& body, Millis started_at) {
-  struct CalledDocument {
-    std::string id, idempotency_key, body;
-  };
+std::vector<Harness::CalledDocument> Harness::documents_of(const std::string& head, const std::string& body) {
+  if (head.rfind(batch_request_line, 0) != 0)
+    return {{header(head, "Request-Id"), header(head, "Idempotency-Key"), body}};
   std::vector<CalledDocument> items;
-  bool batch = head.rfind("POST /v1/messages:batch ", 0) == 0;
-  if (batch) {
-    auto list = Json::parse(body, nullptr, false);
-    for (const auto& item : list.is_array() ? list : Json::array())
-      items.push_back({item.value("id", ""), item.value("key", ""), base64_decode(item.value("body", ""))});
-  } else {
-    items.push_back({header(head, "Request-Id"), header(head, "Idempotency-Key"), body});
-  }
-  if (auto copy = pending_copies_.extract(sock.id))
-    write_copy(sock.id, copy.mapped(), number(copy.mapped().how, "next", 0));
+  auto list = Json::parse(body, nullptr, false);
+  for (const auto& item : list.is_array() ? list : Json::array())
+    items.push_back({item.value("id", ""), item.value("key", ""), base64_decode(item.value("body", ""))});
+  return items;
+}
+
+void Harness::record_calls(const Endpoint& endpoint, const std::string& relay_name, const Socket& sock,
+                           const std::vector<CalledDocument>& items, Millis started_at) {
   char time[32], quiet[32];
   std::snprintf(time, sizeof time, "%.3f", started_at);
   std::snprintf(quiet, sizeof quiet, "%.3f", sock.quiet_until);
@@ -119,66 +116,143 @@
                     {"key", body_field(item.body, "key")},
                     {"v", body_field(item.body, "v")},
                     {"items", std::to_string(items.size())}});
+}
+
+void Harness::handle_call(Endpoint& endpoint, const std::string& relay_name, Socket& sock,
+                          const std::string& head, const std::string& body, Millis started_at) {
+  const auto items = documents_of(head, body);
+  if (auto copy = pending_copies_.extract(sock.id))
+    write_copy(sock.id, copy.mapped(), number(copy.mapped().how, "next", 0));
+  record_calls(endpoint, relay_name, sock, items, started_at);
   auto how = endpoint.how;
   if (endpoint.times == 0) how = {{"manner", "200"}, {"after", option(how, "after", "0")}};
   if (endpoint.times > 0) --endpoint.times;
-  const auto behaviour = how["manner"];
-  if (behaviour == "silent") return;
-  auto socket_id = sock.id;
-  if (behaviour == "reset") {
-    for (const auto& item : items)
-      record("broke", {{"e", endpoint.name}, {"r", relay_name}, {"id", item.id}});
-    connections_[endpoint.name].erase(socket_id);
+  Answer answer = make_answer(endpoint, items, head.rfind(batch_request_line, 0) == 0, how);
+  answer.relay = relay_name, answer.socket_id = sock.id;
+  if (how["manner"] == "silent") return;
+  if (how["manner"] == "reset") {
+    record_broken(answer);
+    connections_[endpoint.name].erase(sock.id);
     return event_loop_.close(sock, true);
   }
-  std::string answer_body, headers;
-  std::vector<std::string> item_statuses;
+  auto answer_at = now() + number(how, "after", 0);
+  if (auto last_piece = last_piece_at_.extract(sock.id))
+    answer_at = std::max(answer_at, last_piece.mapped() + 1);
+  event_loop_.schedule(answer_at, [this, answer] {
+    event_loop_.update_clock();  // a wait counts from the write
+    write_answer(answer);
+  });
+}
+
+Harness::Answer Harness::make_answer(Endpoint& endpoint, const std::vector<CalledDocument>& items,
+                                     bool is_batch, const Options& how) {
+  Answer answer;
+  answer.endpoint = endpoint.name, answer.how = how;
+  const std::string behaviour = option(how, "manner", "200");
+  if (behaviour == "silent" || behaviour == "reset") {
+    for (const auto& item : items) answer.documents.push_back({item.id, ""});
+    return answer;
+  }
   for (const auto& item : items)
-    item_statuses.push_back(status_for(item.id, behaviour, how.count("states") > 0));
-  const bool lists_items = batch && behaviour == "200";
-  if (lists_items) {
+    answer.documents.push_back({item.id, status_for(item.id, behaviour, how.count("states") > 0)});
+  answer.lists_items = is_batch && behaviour == "200";
+  std::string answer_body, headers;
+  if (answer.lists_items) {
     auto states = Json::array();
-    for (std::size_t i = 0; i < items.size(); ++i)
-      states.push_back({{"id", items[i].id}, {"state", item_state(item_statuses[i])}});
+    for (const auto& document : answer.documents)
+      states.push_back({{"id", document.id}, {"state", item_state(document.status)}});
     answer_body = states.dump();
   }
-  if (endpoint.copies.count("unique") && !batch && behaviour == "200")
+  if (endpoint.copies.count("unique") && !is_batch && behaviour == "200")
     answer_body = "answer to " + items[0].id;
-  if (how.count("wait")) headers = "Retry-After: " + how["wait"] + "\r\n";
+  if (how.count("wait")) headers = "Retry-After: " + option(how, "wait", "") + "\r\n";
   if (how.count("busy")) headers = "X-Line-Busy: 1\r\n";
-  const auto status = lists_items ? std::string("200") : item_statuses[0];
-  bool cut = how.count("cut") > 0;
-  auto answer = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
-  if (cut) answer.resize(answer.size() - 5);
-  auto name = endpoint.name;
-  auto wait = how.count("wait") ? std::stod(how["wait"]) * 1000 : 0;
-  auto answer_at = now() + number(how, "after", 0);
-  if (auto last_piece = last_piece_at_.extract(socket_id))
-    answer_at = std::max(answer_at, last_piece.mapped() + 1);
-  event_loop_.schedule(answer_at, [=, this]() mutable {
-    event_loop_.update_clock();  // a wait counts from the write
-    Socket* open_socket = event_loop_.find(socket_id);
-    for (std::size_t i = 0; i < items.size(); ++i) {
-      const auto& item = items[i];
-      if (!open_socket) {
-        record("broke", {{"e", name}, {"r", relay_name}, {"id", item.id}});  // the caller has disconnected
-        continue;
-      }
-      std::vector<std::pair<std::string, std::string>> fields{
-          {"e", name},       {"dest", std::to_string(endpoints_.at(name).dest)},
-          {"r", relay_name}, {"conn", std::to_string(socket_id)},
-          {"id", item.id},   {"status", item_statuses[i]}};
-      if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
-      record("answer", std::move(fields));
-      if (auto found = documents_.find(item.id);
-          found != documents_.end() && (item_statuses[i] == "200" || item_statuses[i] == "410"))
-        found->second.ended = true;
-    }
-    if (open_socket) event_loop_.send(*open_socket, answer);
-    if (open_socket && !cut) copy_answer(endpoints_.at(name), socket_id, answer);
-    const bool closes = cut || how.count("close") || how.count("reset");
-    if (open_socket && closes) event_loop_.close(*open_socket, how.count("reset") > 0);
-  });
+  const auto status = answer.lists_items ? std::string("200") : answer.documents[0].status;
+  const bool cut = how.count("cut") > 0;
+  answer.bytes = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
+  if (cut) answer.bytes.resize(answer.bytes.size() - 5);
+  return answer;
+}
+
+// The caller has disconnected, or gets no whole answer.
+void Harness::record_broken(const Answer& answer) {
+  for (const auto& document : answer.documents)
+    record("broke", {{"e", answer.endpoint}, {"r", answer.relay}, {"id", document.id}});
+}
+
+void Harness::record_answer(const Answer& answer) {
+  const Millis wait = answer.how.count("wait") ? number(answer.how, "wait", 0) * 1000 : 0;
+  for (const auto& document : answer.documents) {
+    std::vector<std::pair<std::string, std::string>> fields{
+        {"e", answer.endpoint}, {"dest", std::to_string(endpoints_.at(answer.endpoint).dest)},
+        {"r", answer.relay},    {"conn", std::to_string(answer.socket_id)},
+        {"id", document.id},    {"status", document.status}};
+    if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
+    record("answer", std::move(fields));
+    if (auto found = documents_.find(document.id);
+        found != documents_.end() && (document.status == "200" || document.status == "410"))
+      found->second.ended = true;
+  }
+}
+
+void Harness::write_answer(const Answer& answer) {
+  Socket* sock = event_loop_.find(answer.socket_id);
+  if (!sock) return record_broken(answer);
+  Endpoint& endpoint = endpoints_.at(answer.endpoint);
+  const int every = static_cast<int>(number(endpoint.transport, "every", 0));
+  if (every > 0 && ++endpoint.transported % every == 0)
+    return write_piece(std::make_shared<TransportedAnswer>(answer, endpoint.transport));
+  record_answer(answer);
+  event_loop_.send(*sock, answer.bytes);
+  const bool cut = answer.how.count("cut") > 0;
+  if (!cut) copy_answer(endpoint, answer.socket_id, answer.bytes);
+  const bool resets = answer.how.count("reset") > 0;
+  if (cut || resets || answer.how.count("close")) event_loop_.close(*sock, resets);
+}
+
+// The answer to a single document counts from its first line where that ends the document, any other one once
+// it is whole.
+std::size_t Harness::deciding_bytes(const Answer& answer) {
+  const std::string& status = answer.documents[0].status;
+  const bool is_final = !answer.lists_items && (status == "200" || status == "410");
+  return is_final ? answer.bytes.find("\r\n") + 2 : answer.bytes.size();
+}
+
+void Harness::write_piece(const std::shared_ptr<TransportedAnswer>& answer) {
+  Socket* sock = event_loop_.find(answer->socket_id);
+  if (!sock) {
+    if (!answer->is_recorded) record_broken(*answer);
+    return;
+  }
+  const auto fault_at = static_cast<std::size_t>(number(answer->transport, "at", 1) *
+                                                 static_cast<double>(answer->bytes.size()));
+  const bool reaches_fault = !answer->is_past_fault && answer->written >= fault_at;
+  if (reaches_fault && answer->written < answer->bytes.size()) return play_transport_fault(answer, *sock);
+  const auto piece_size = static_cast<std::size_t>(number(answer->transport, "piece", 1000));
+  const std::size_t end = answer->is_past_fault ? answer->bytes.size() : fault_at;
+  const std::string piece =
+      answer->bytes.substr(answer->written, std::min(piece_size, end - answer->written));
+  event_loop_.update_clock();
+  if (!answer->is_recorded && answer->written + piece.size() >= deciding_bytes(*answer)) {
+    answer->is_recorded = true;
+    record_answer(*answer);
+  }
+  answer->written += piece.size();
+  event_loop_.send(*sock, piece);
+  if (answer->written < answer->bytes.size())
+    event_loop_.schedule(now() + number(answer->transport, "gap", 0), [=, this] { write_piece(answer); });
+}
+
+void Harness::play_transport_fault(const std::shared_ptr<TransportedAnswer>& answer, Socket& sock) {
+  const std::string fault = option(answer->transport, "fault", "stall");
+  answer->is_past_fault = true;
+  if (fault == "stall")
+    return event_loop_.schedule(now() + number(answer->transport, "stall", 0),
+                                [=, this] { write_piece(answer); });
+  if (!answer->is_recorded) record_broken(*answer);
+  if (fault == "half_close") return event_loop_.finish_sending(sock);
+  connections_[answer->endpoint].erase(answer->socket_id);
+  event_loop_.close(sock, fault == "reset");
 }
 
 // The status for one document of a call; with mixed: each of those that an answer to several can list.
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -1,5 +1,6 @@
 // Command line of rockcrank_trial, which runs real relay processes under random or scripted faults and audits
 // the log. docs/fleet-trial.md describes its use.
+#include <algorithm>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
@@ -22,6 +23,21 @@
 using namespace rockcrank::trial;
 
 constexpr int exit_passed = 0, exit_violated = 1, exit_bad_arguments = 2;
+constexpr const char* part_names[] = {"fleet",   "documents", "warm",   "latest",  "cold",
+                                      "crowded", "waits",     "copies", "answers", "transport"};
+
+std::string listed_parts() {
+  std::string all;
+  for (const char* name : part_names) all += (all.empty() ? "" : ", ") + std::string(name);
+  return all;
+}
+
+AnswerFaults answer_faults_of(const std::string& part) {
+  if (part == "copies") return AnswerFaults::copies;
+  if (part == "answers") return AnswerFaults::statuses;
+  if (part == "transport") return AnswerFaults::transport;
+  return AnswerFaults::none;
+}
 
 struct Arguments {
   unsigned long seed = 1;
@@ -37,8 +53,7 @@
   auto add = options.add_options();
   add("seed", "random seed of the load and of all faults", cxxopts::value<unsigned long>());
   add("relays", "number of relays, 1 to 64", cxxopts::value<int>());
-  add("part", "fleet, documents, warm, latest, cold, crowded or waits; default: the first four",
-      cxxopts::value<std::string>());
+  add("part", listed_parts() + "; default: the first four", cxxopts::value<std::string>());
   add("seconds", "duration of the load, 2 to 600", cxxopts::value<double>());
   add("scene", "file with a scripted trial, instead of a seed", cxxopts::value<std::string>());
   add("plant", "violation to inject into the log, to test the auditor", cxxopts::value<std::string>());
@@ -73,12 +88,9 @@
     reject("one of --seed N, --scene FILE or --audit FILE is required");
   if (arguments.relays < 1 || arguments.relays > 64) reject("--relays must be from 1 to 64");
   if (!(arguments.seconds >= 2 && arguments.seconds <= 600)) reject("--seconds must be from 2 to 600");
-  if (!arguments.part.empty() && arguments.part != "fleet" && arguments.part != "documents" &&
-      arguments.part != "warm" && arguments.part != "latest" && arguments.part != "cold" &&
-      arguments.part != "crowded" && arguments.part != "waits" && arguments.part != "copies" &&
-      arguments.part != "answers")
-    reject("--part must be fleet, documents, warm, latest, cold, crowded, waits, copies or answers, not '" +
-           arguments.part + "'");
+  if (!arguments.part.empty() &&
+      std::find(std::begin(part_names), std::end(part_names), arguments.part) == std::end(part_names))
+    reject("--part must be one of " + listed_parts() + ", not '" + arguments.part + "'");
   if (!arguments.violation.empty()) {
     auto names = violation_names();
     if (std::find(names.begin(), names.end(), arguments.violation) == names.end()) {
@@ -135,9 +147,7 @@
   std::optional<Scene> scene;
   const bool crowded = arguments.part == "crowded";
   const bool cold = arguments.scene.empty() && (crowded || arguments.part == "cold");
-  const AnswerFaults answer_faults = arguments.part == "copies"    ? AnswerFaults::copies
-                                     : arguments.part == "answers" ? AnswerFaults::statuses
-                                                                   : AnswerFaults::none;
+  const AnswerFaults answer_faults = answer_faults_of(arguments.part);
   const bool waits =
       arguments.scene.empty() && (answer_faults != AnswerFaults::none || arguments.part == "waits");
   const ColdReturnLoad& cold_return_load = crowded ? crowded_load : cold_load;
--- a/src/trial/wait_soak.cpp
+++ b/src/trial/wait_soak.cpp
@@ -37,7 +37,8 @@
     draw_crowd();
     draw_load();
     if (faults == AnswerFaults::copies) draw_copies();
-    if (faults == AnswerFaults::statuses) draw_statuses();
+    if (faults == AnswerFaults::statuses || faults == AnswerFaults::transport) draw_statuses();
+    if (faults == AnswerFaults::transport) draw_transport();
   }
   Schedule& schedule() { return schedule_; }
 
@@ -115,6 +116,27 @@
     }
   }
 
+  // Pieces of any size, pauses from none to longer than a call, and ends of the connection at any byte.
+  void draw_transport() {
+    static const char* const faults[] = {"stall", "close", "reset", "half_close"};
+    for (Millis at = 20; at < fault_end(); at += between(50, 500)) {
+      const auto& endpoint = endpoints[below(static_cast<int>(std::size(endpoints)))];
+      Options how{{"every", std::to_string(1 + below(4))},
+                  {"piece", std::to_string(below(3) ? 1 + below(20) : 1000)},
+                  {"gap", decimal(below(4) ? between(0, 3) : between(0, 60))},
+                  {"at", decimal(below(4) ? between(0, 1) : 1)},
+                  {"stall", decimal(below(3) ? between(0, 300) : between(300, 3000))}};
+      how["fault"] = faults[below(static_cast<int>(std::size(faults)))];
+      schedule_.add(at, [how, name = std::string(endpoint.name)](Harness& harness) {
+        harness.set_transport(name, how);
+      });
+    }
+    for (const auto& endpoint : endpoints)
+      schedule_.add(fault_end(), [name = std::string(endpoint.name)](Harness& harness) {
+        harness.set_transport(name, {});
+      });
+  }
+
   void draw_faults() {
     int count = static_cast<int>(faults_per_second * fault_end() / 1000);
     for (int i = 0; i < count; ++i) {
--- a/src/trial/wait_soak.h
+++ b/src/trial/wait_soak.h
@@ -11,8 +11,8 @@
 void set_up_wait_soak(Setup& setup);
 // What endpoints do beside telling waits: nothing; they and the agent write answers twice; they answer with
 // the whole table of the protocol, for documents that are withdrawn or spent too, and end connections behind
-// an answer.
-enum class AnswerFaults { none, copies, statuses };
+// an answer; the same with answers that are late, in pieces, stalled, or cut at any byte on their way.
+enum class AnswerFaults { none, copies, statuses, transport };
 // Returns what failed, or an empty string. The auditor judges the log.
 std::string play_wait_soak(Harness& harness, double seconds, AnswerFaults faults);
 
