Trial: answers to several documents as the protocol has them; no wait with 410 and 504

Change: such batches list each document's state; 410 and 504 tell no wait; an answer that stops short goes in one piece.

--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -151,7 +151,8 @@
     std::string endpoint, relay;
     std::uint64_t socket_id = 0;
     std::vector<Document> documents;
-    bool lists_items = false;  // the states of the documents of a batch
+    bool is_batch = false, lists_items = false;  // the state of each document of the batch
+    Millis wait = 0;
     std::string bytes;
     Options how;
   };
@@ -212,6 +213,7 @@
                     const std::vector<CalledDocument>& items, Millis started_at);
   Answer make_answer(Endpoint& endpoint, const std::vector<CalledDocument>& items, bool is_batch,
                      const Options& how);
+  static bool needs_list(const Answer& answer);
   void record_answer(const Answer& answer);
   void record_broken(const Answer& answer);
   void write_answer(const Answer& answer);
--- a/src/trial/harness_endpoints.cpp
+++ b/src/trial/harness_endpoints.cpp
@@ -153,9 +153,13 @@
     for (const auto& item : items) answer.documents.push_back({item.id, ""});
     return answer;
   }
-  for (const auto& item : items)
-    answer.documents.push_back({item.id, status_for(item.id, behaviour, how.count("states") > 0)});
-  answer.lists_items = is_batch && behaviour == "200";
+  const bool cut = how.count("cut") > 0;
+  for (const auto& item : items) {
+    const bool is_whole = !is_batch || !cut;  // a list that is cut says nothing of its documents
+    answer.documents.push_back(
+        {item.id, is_whole ? status_for(item.id, behaviour, how.count("states") > 0) : behaviour});
+  }
+  answer.is_batch = is_batch, answer.lists_items = is_batch && !cut && needs_list(answer);
   std::string answer_body, headers;
   if (answer.lists_items) {
     auto states = Json::array();
@@ -165,15 +169,27 @@
   }
   if (endpoint.copies.count("unique") && !is_batch && behaviour == "200")
     answer_body = "answer to " + items[0].id;
-  if (how.count("wait")) headers = "Retry-After: " + option(how, "wait", "") + "\r\n";
-  if (how.count("busy")) headers = "X-Line-Busy: 1\r\n";
   const auto status = answer.lists_items ? std::string("200") : answer.documents[0].status;
-  const bool cut = how.count("cut") > 0;
+  // "410" and "504" tell no wait, whatever the endpoint would have answered to another document.
+  const bool tells_wait = how.count("wait") && status != "410" && status != "504";
+  if (tells_wait) {
+    headers = "Retry-After: " + option(how, "wait", "") + "\r\n";
+    answer.wait = number(how, "wait", 0) * 1000;
+  }
+  if (how.count("busy")) headers = "X-Line-Busy: 1\r\n";
   answer.bytes = http(status + " Said", headers, cut ? "not sent whole" : answer_body);
   if (cut) answer.bytes.resize(answer.bytes.size() - 5);
   return answer;
 }
 
+// An answer to several documents has one status for all where they fare alike and the protocol names it.
+bool Harness::needs_list(const Answer& answer) {
+  const std::string& first = answer.documents[0].status;
+  const bool are_alike = std::all_of(answer.documents.begin(), answer.documents.end(),
+                                     [&](const auto& document) { return document.status == first; });
+  return !are_alike || first == "200" || first == "410" || first == "504";
+}
+
 // The caller has disconnected, or gets no whole answer.
 void Harness::record_broken(const Answer& answer) {
   for (const auto& document : answer.documents)
@@ -181,13 +197,13 @@
 }
 
 void Harness::record_answer(const Answer& answer) {
-  const Millis wait = answer.how.count("wait") ? number(answer.how, "wait", 0) * 1000 : 0;
   for (const auto& document : answer.documents) {
     std::vector<std::pair<std::string, std::string>> fields{
         {"e", answer.endpoint}, {"dest", std::to_string(endpoints_.at(answer.endpoint).dest)},
         {"r", answer.relay},    {"conn", std::to_string(answer.socket_id)},
         {"id", document.id},    {"status", document.status}};
-    if (wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(wait)));
+    if (answer.wait > 0) fields.emplace_back("wait", std::to_string(static_cast<long>(answer.wait)));
+    if (answer.how.count("cut")) fields.emplace_back("cut", "1");
     record("answer", std::move(fields));
     if (auto found = documents_.find(document.id);
         found != documents_.end() && (document.status == "200" || document.status == "410"))
@@ -200,21 +216,21 @@
   if (!sock) return record_broken(answer);
   Endpoint& endpoint = endpoints_.at(answer.endpoint);
   const int every = static_cast<int>(number(endpoint.transport, "every", 0));
-  if (every > 0 && ++endpoint.transported % every == 0)
+  const bool cut = answer.how.count("cut") > 0;
+  if (every > 0 && ++endpoint.transported % every == 0 && !cut)
     return write_piece(std::make_shared<TransportedAnswer>(answer, endpoint.transport));
   record_answer(answer);
   event_loop_.send(*sock, answer.bytes);
-  const bool cut = answer.how.count("cut") > 0;
   if (!cut) copy_answer(endpoint, answer.socket_id, answer.bytes);
   const bool resets = answer.how.count("reset") > 0;
   if (cut || resets || answer.how.count("close")) event_loop_.close(*sock, resets);
 }
 
-// The answer to a single document counts from its first line where that ends the document, any other one once
-// it is whole.
+// The answer to a call of a single document counts from its first line where that ends the document, any
+// other one once it is whole.
 std::size_t Harness::deciding_bytes(const Answer& answer) {
   const std::string& status = answer.documents[0].status;
-  const bool is_final = !answer.lists_items && (status == "200" || status == "410");
+  const bool is_final = !answer.is_batch && (status == "200" || status == "410");
   return is_final ? answer.bytes.find("\r\n") + 2 : answer.bytes.size();
 }
 
@@ -271,7 +287,8 @@
   if (status == "200") return "ok";
   if (status == "410") return "gone";
   if (status == "504") return "exhausted";
-  return status == "503" ? "later" : "error";
+  const bool never_ran = status == "503" || status == "429" || status == "400" || status == "413";
+  return never_ran ? "later" : "error";
 }
 
 void Harness::copy_answer(Endpoint& endpoint, std::uint64_t socket_id, const std::string& answer) {
