--- a/src/decision/answer_proof.cpp
+++ b/src/decision/answer_proof.cpp
@@ -6,12 +6,12 @@
 
 namespace rockcrank::internal {
 
-// Where copies were seen lately, or deliveries always differ, one that repeats an answer is not believed.
-// Elsewhere one that came much sooner than this endpoint answers is believed only after several times the
+// Where copies were seen lately, or deliveries always differ, one that repeats an answer is not accepted.
+// Elsewhere one that came much sooner than this endpoint answers is accepted only after several times the
 // longest of its recent answers, any other once the endpoint has had its usual time. A refusal that is
-// wrongly believed would send an unsafe document twice, so it is always given the long time. So is one that
+// wrongly accepted would send an unsafe document twice, so it is always given the long time. So is one that
 // ends its document, as a copy would end another one.
-Millis Decider::believe_after(const UnprovenAnswer& answer) {
+Millis Decider::acceptance_delay(const UnprovenAnswer& answer) {
   auto found = in_flight_.find({answer.doc, answer.transmission});
   if (found == in_flight_.end()) return 0;
   Call& call = calls_[std::get<0>(found->second)];
@@ -46,10 +46,11 @@
   route.publish_pending = apply_retry_after(route, now_ + wait, false);
 }
 
-// Where an endpoint copies answers that look alike, only the first answer on a connection tells its call.
-bool Decider::may_keep_connection(EndpointId id, bool answers_alike) {
+// Where an endpoint copies the same answer to several calls, only the first answer on a connection tells its
+// call.
+bool Decider::may_keep_connection(EndpointId id, bool answers_repeat) {
   auto found = endpoints_.find(id);
-  return found == endpoints_.end() || !answers_alike || !copied_lately(found->second);
+  return found == endpoints_.end() || !answers_repeat || !copied_lately(found->second);
 }
 
 // A refusal of an unsafe document has to be proved: it would be sent again. On a connection without an
--- a/src/decision/answer_verdict.cpp
+++ b/src/decision/answer_verdict.cpp
@@ -11,14 +11,14 @@
     case CallEnd::timed_out: return TransmissionResult::timed_out;
     case CallEnd::canceled: return TransmissionResult::canceled;
     case CallEnd::proved_answer:
-    case CallEnd::believed_answer:
+    case CallEnd::accepted_answer:
     case CallEnd::connection_lost:
     case CallEnd::disputed: break;
   }
   return TransmissionResult::connection_lost;
 }
 
-bool is_by_answer(CallEnd end) { return end == CallEnd::proved_answer || end == CallEnd::believed_answer; }
+bool is_by_answer(CallEnd end) { return end == CallEnd::proved_answer || end == CallEnd::accepted_answer; }
 
 // Where another way ended the call it may be a copy, and the call may have run. It is not called again, as it
 // may be over, and gets a report, as its end may still be owed.
@@ -40,14 +40,14 @@
   return {result, DocumentEnd::attempts_spent, is_by_answer(end)};
 }
 
-// It may have run, so there is nothing to lose by believing it when no other answer came in time.
+// It may have run, so there is nothing to lose by accepting it when no other answer came in time.
 AnswerVerdict judge_failed(CallEnd end) {
   if (is_by_answer(end) || end == CallEnd::timed_out)
     return {TransmissionResult::error, DocumentEnd::none, true};
   return {result_without_answer(end), DocumentEnd::none, false};
 }
 
-// That a call never ran has to be proved, or believed by time.
+// That a call never ran has to be proved, or accepted by time.
 AnswerVerdict judge_never_ran(TransmissionResult result, CallEnd end) {
   if (is_by_answer(end)) return {result, DocumentEnd::none, true};
   return {result_without_answer(end), DocumentEnd::none, false};
@@ -90,7 +90,7 @@
 
 AnswerVerdict judge_disputed_end(const AnswerVerdict& last) {
   if (last.end == DocumentEnd::over || last.end == DocumentEnd::over_unproved) return last;
-  return {TransmissionResult::connection_lost, DocumentEnd::over_unproved, last.believed};
+  return {TransmissionResult::connection_lost, DocumentEnd::over_unproved, last.accepted};
 }
 
 bool ends_document(AnswerKind kind) {
--- a/src/decision/answer_verdict.h
+++ b/src/decision/answer_verdict.h
@@ -12,8 +12,8 @@
 // How a call with an answer ended.
 enum class CallEnd : std::uint8_t {
   proved_answer,    // the answer is surely that of this call
-  believed_answer,  // not proved, and no other answer came for as long as believe_after() says
-  timed_out,        // the others: an answer that is not proved had come, and was not believed yet
+  accepted_answer,  // not proved, and no other answer came for as long as acceptance_delay() says
+  timed_out,        // the others: an answer that is not proved had come, and was not accepted yet
   canceled,
   connection_lost,  // also where the endpoint closed it right behind the answer
   disputed          // answers to this call disagree, and none is proved
@@ -22,7 +22,7 @@
 struct AnswerVerdict {
   TransmissionResult result = TransmissionResult::error;
   DocumentEnd end = DocumentEnd::none;
-  bool believed = false;  // its waits and load hints count, and its connection may carry a further call
+  bool accepted = false;  // its waits and load hints count, and its connection may carry a further call
 };
 
 AnswerKind kind_of_status(int status, bool slots_taken);
--- a/src/decision/decider.h
+++ b/src/decision/decider.h
@@ -80,10 +80,10 @@
   void accept(const Document& document) override;
   void outcome(const Outcome& outcome) override;
   void wait_told_early(DocId doc, int transmission, Millis wait) override;
-  Millis believe_after(const UnprovenAnswer& answer) override;
+  Millis acceptance_delay(const UnprovenAnswer& answer) override;
   void note_copied_answer(EndpointId id) override;
   void wait_told(EndpointId id, Millis wait) override;
-  bool may_keep_connection(EndpointId id, bool answers_alike) override;
+  bool may_keep_connection(EndpointId id, bool answers_repeat) override;
   bool may_reuse_connection(EndpointId id, DocId doc, const EarlierAnswers& earlier) override;
   void withdraw(DocId id) override;
   void set_offline(EndpointId id, bool offline) override;
--- a/src/decision/decision.h
+++ b/src/decision/decision.h
@@ -300,15 +300,15 @@
   // A refusal with this Retry-After has begun to arrive; its rest, and with it the outcome, may come late or
   // never.
   virtual void wait_told_early(DocId doc, int transmission, Millis wait) = 0;
-  // How long after the call was written the answer is believed, unless another one follows by then.
-  virtual Millis believe_after(const UnprovenAnswer& answer) = 0;
+  // How long after the call was written the answer is accepted, unless another one follows by then.
+  virtual Millis acceptance_delay(const UnprovenAnswer& answer) = 0;
   // The endpoint wrote an answer more often than it was called.
   virtual void note_copied_answer(EndpointId endpoint) = 0;
   // A Retry-After in an answer that belongs to no call that is out.
   virtual void wait_told(EndpointId endpoint, Millis wait) = 0;
   // Whether a connection that has carried a call to the endpoint may carry another one, of this document.
-  // answers_alike: its last answer had the same bytes as one to another call there.
-  virtual bool may_keep_connection(EndpointId endpoint, bool answers_alike) = 0;
+  // answers_repeat: its last answer had the same bytes as one to another call there.
+  virtual bool may_keep_connection(EndpointId endpoint, bool answers_repeat) = 0;
   virtual bool may_reuse_connection(EndpointId endpoint, DocId doc, const EarlierAnswers& earlier) = 0;
   // The document is no longer this relay's: another relay has it, or the end decided here is acknowledged.
   virtual void withdraw(DocId doc) = 0;
--- a/src/relay/answer_history.h
+++ b/src/relay/answer_history.h
@@ -16,7 +16,7 @@
   struct Snapshot {
     std::vector<std::uint64_t> hashes;
     int answers = 0;
-    bool in_step = true, has_refusal = false;
+    bool all_proved = true, has_refusal = false;
   };
 
   AnswerHistory() = default;
@@ -26,14 +26,14 @@
   int answers() const { return state_.answers; }
   // Whether each answer so far was proved to be that of its call. Else a further one may belong to any of
   // them.
-  bool in_step() const { return state_.in_step; }
+  bool all_proved() const { return state_.all_proved; }
   bool has_refusal() const { return state_.has_refusal; }
   bool contains(std::string_view answer) const {
     return std::ranges::find(state_.hashes, fnv1a_hash(answer)) != state_.hashes.end();
   }
   void add(std::string_view answer, bool proved, bool refused) {
     ++state_.answers;
-    if (!proved) state_.in_step = false;
+    if (!proved) state_.all_proved = false;
     if (refused) state_.has_refusal = true;
     if (contains(answer)) return;
     if (state_.hashes.size() == max_hashes) state_.hashes.erase(state_.hashes.begin());
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -13,7 +13,7 @@
 const char* name_of(EndpointCloseReason reason) {
   static constexpr std::array<const char*, endpoint_close_reason_count> names = {
       "call_failed",       "closed_by_answer", "idle_too_long",    "unusable",
-      "unexpected_answer", "answers_alike",    "connection_limit", "not_needed"};
+      "unexpected_answer", "answers_repeat",   "connection_limit", "not_needed"};
   return names[static_cast<std::size_t>(reason)];
 }
 
@@ -56,10 +56,10 @@
     if (best == idle.end()) return nullptr;
     auto candidate = std::move(*best);
     idle.erase(best);
-    const bool kept = may_keep_connection(endpoint, candidate->answers_alike());
+    const bool kept = may_keep_connection(endpoint, candidate->answers_repeat());
     const bool usable = candidate->usable();
     if (kept && usable && loop_.now() - candidate->idle_since() <= max_idle_time) return candidate;
-    const auto reason = !kept    ? EndpointCloseReason::answers_alike
+    const auto reason = !kept    ? EndpointCloseReason::answers_repeat
                         : usable ? EndpointCloseReason::idle_too_long
                                  : EndpointCloseReason::unusable;
     if (!candidate->retire()) discard_idle(std::move(candidate), reason);
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -30,7 +30,7 @@
   idle_too_long,
   unusable,  // unread bytes, or an unread end, came while it was idle
   unexpected_answer,
-  answers_alike,  // its next answer could not be told from a copy
+  answers_repeat,  // its next answer could not be told from a copy
   connection_limit,
   not_needed,  // the decision module closes it, or its endpoint has no address or another one
 };
@@ -64,7 +64,7 @@
     Millis unproven_at = 0;
     AnswerHistory::Snapshot history;
     bool is_batch = false, deferred = false, connection_closed = false, draining = false;
-    bool answers_alike = false, retired = false, disputed = false;
+    bool answers_repeat = false, retired = false, disputed = false;
     std::vector<std::string> ended_by_earlier;  // ids
     Millis started_at = 0, written_at = 0, idle_since = 0, connection_idle_time = 0;
   };
@@ -84,14 +84,14 @@
   std::function<void(DocId, int)> on_connecting;
   // A refusal with this Retry-After has begun to arrive for the call of this transmission.
   std::function<void(DocId, int, Millis)> on_wait_told_early = [](DocId, int, Millis) {};
-  // How long after its call was written an unproven answer is believed.
-  std::function<Millis(const UnprovenAnswer&)> believe_after = [](const UnprovenAnswer&) { return 0; };
+  // How long after its call was written an unproven answer is accepted.
+  std::function<Millis(const UnprovenAnswer&)> acceptance_delay = [](const UnprovenAnswer&) { return 0; };
   // An answer without proof says that the document is over, or (false) it was the answer to another call.
   std::function<void(DocId, bool may_be_over)> on_possible_end = [](DocId, bool) {};
   std::function<void(EndpointId)> on_copied_answer = [](EndpointId) {};
   // A Retry-After in an answer that belongs to no call that is out.
   std::function<void(EndpointId, Millis)> on_wait_told = [](EndpointId, Millis) {};
-  std::function<bool(EndpointId, bool answers_alike)> may_keep_connection = [](EndpointId, bool) {
+  std::function<bool(EndpointId, bool answers_repeat)> may_keep_connection = [](EndpointId, bool) {
     return true;
   };
   std::function<bool(EndpointId, DocId, const EarlierAnswers&)> may_reuse_connection =
@@ -117,9 +117,9 @@
     std::uint64_t copied = 0;      // followed by the call's own answer, or naming another call
     std::uint64_t unexpected = 0;  // no call was out
     std::uint64_t early = 0;       // their call had not been written
-    std::uint64_t unproven = 0;    // believed without a proof
-    std::uint64_t kept = 0;        // not proved, so not believed at once
-    std::uint64_t forgotten = 0;   // kept, and not believed when their call ended in another way
+    std::uint64_t unproven = 0;    // accepted without a proof
+    std::uint64_t kept = 0;        // not proved, so not accepted at once
+    std::uint64_t forgotten = 0;   // kept, and not accepted when their call ended in another way
   };
   const AnswerCounts& answer_counts() const { return answer_counts_; }
   std::uint64_t closed_count(EndpointCloseReason reason) const {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -86,9 +86,9 @@
     begin_turn();
     decision_->wait_told_early(doc, transmission, wait);
   };
-  endpoints_.believe_after = [this](const UnprovenAnswer& answer) {
+  endpoints_.acceptance_delay = [this](const UnprovenAnswer& answer) {
     begin_turn();
-    return decision_->believe_after(answer);
+    return decision_->acceptance_delay(answer);
   };
   endpoints_.on_possible_end = [this](DocId doc, bool may_be_over) {
     begin_turn();
@@ -102,8 +102,8 @@
     begin_turn();
     decision_->wait_told(endpoint, wait);
   };
-  endpoints_.may_keep_connection = [this](EndpointId endpoint, bool answers_alike) {
-    return decision_->may_keep_connection(endpoint, answers_alike);
+  endpoints_.may_keep_connection = [this](EndpointId endpoint, bool answers_repeat) {
+    return decision_->may_keep_connection(endpoint, answers_repeat);
   };
   endpoints_.may_reuse_connection = [this](EndpointId endpoint, DocId doc, const EarlierAnswers& earlier) {
     return decision_->may_reuse_connection(endpoint, doc, earlier);
@@ -409,8 +409,8 @@
                                         one.unproven_at,
                                         one.history.hashes,
                                         one.history.answers,
-                                        one.history.in_step,
-                                        one.answers_alike,
+                                        one.history.all_proved,
+                                        one.answers_repeat,
                                         one.history.has_refusal,
                                         one.retired,
                                         one.disputed,
@@ -471,8 +471,8 @@
     snapshot.idle_since = one.at(12).get<double>(), snapshot.connection_idle_time = one.at(13).get<double>();
     snapshot.unproven_answer = one.at(14).get<std::string>(), snapshot.unproven_at = one.at(15).get<double>();
     snapshot.history.hashes = one.at(16).get<std::vector<std::uint64_t>>();
-    snapshot.history.answers = one.at(17).get<int>(), snapshot.history.in_step = one.at(18).get<bool>();
-    snapshot.answers_alike = one.at(19).get<bool>();
+    snapshot.history.answers = one.at(17).get<int>(), snapshot.history.all_proved = one.at(18).get<bool>();
+    snapshot.answers_repeat = one.at(19).get<bool>();
     snapshot.history.has_refusal = one.at(20).get<bool>();
     snapshot.retired = one.at(21).get<bool>(), snapshot.disputed = one.at(22).get<bool>();
     snapshot.ended_by_earlier = one.at(23).get<std::vector<std::string>>();
--- a/tests/crossings/answers_test.cpp
+++ b/tests/crossings/answers_test.cpp
@@ -14,12 +14,12 @@
 namespace rockcrank {
 namespace {
 
-constexpr Millis belief_time = 60;
+constexpr Millis short_acceptance_delay = 60;
 constexpr Millis call_time = 150;
-constexpr Millis long_belief_time = 5000;  // longer than the call
+constexpr Millis long_acceptance_delay = 5000;  // longer than the call
 
 enum class Standing { first, differs_from_all_before, has_bytes_of_one_before, after_one_without_proof };
-enum class Ending { believed, end_of_connection, reset, time_out, called_off, own_answer_follows };
+enum class Ending { accepted, end_of_connection, reset, time_out, called_off, own_answer_follows };
 
 constexpr Standing all_standings[] = {Standing::first, Standing::differs_from_all_before,
                                       Standing::has_bytes_of_one_before, Standing::after_one_without_proof};
@@ -59,15 +59,15 @@
   // False where it cannot be had.
   bool exists() const {
     const bool is_proved = standing_ == Standing::first || standing_ == Standing::differs_from_all_before;
-    const bool cut_ends = ending_ != Ending::believed && ending_ != Ending::own_answer_follows;
+    const bool cut_ends = ending_ != Ending::accepted && ending_ != Ending::own_answer_follows;
     if (status_.cut) return cut_ends;
     return !(is_proved && ending_ == Ending::own_answer_follows);
   }
 
   void play() {
     prepare_connection();
-    endpoints_.believe_after = [this](const UnprovenAnswer&) {
-      return ending_ == Ending::believed ? belief_time : long_belief_time;
+    endpoints_.acceptance_delay = [this](const UnprovenAnswer&) {
+      return ending_ == Ending::accepted ? short_acceptance_delay : long_acceptance_delay;
     };
     outcomes_.clear();
     call({{3, call_time}});
@@ -93,7 +93,7 @@
         ending_ == Ending::end_of_connection || ending_ == Ending::reset || ending_ == Ending::called_off;
     if (is_delivery && !is_proved && is_lost) { EXPECT_EQ(outcome.end, DocumentEnd::over_unproved); }
     const bool says_never_ran = !is_delivery && !starts_with(status_, "500") && !starts_with(status_, "418");
-    const bool is_known = (is_proved && !status_.cut) || ending_ == Ending::believed;
+    const bool is_known = (is_proved && !status_.cut) || ending_ == Ending::accepted;
     if (!ends_document(outcome)) { EXPECT_EQ(counts_as_never_run(outcome), says_never_ran && is_known); }
   }
 
@@ -118,7 +118,7 @@
   }
   // The calls before: their answers make the standing of the next one.
   void prepare_connection() {
-    endpoints_.believe_after = [](const UnprovenAnswer&) { return 0; };
+    endpoints_.acceptance_delay = [](const UnprovenAnswer&) { return 0; };
     const std::string other = answer_of("another");
     if (standing_ == Standing::first) return;
     answer_one(1, standing_ == Standing::has_bytes_of_one_before ? bytes(status_, false) : other);
@@ -138,7 +138,7 @@
   }
   void end_call() {
     switch (ending_) {
-      case Ending::believed:
+      case Ending::accepted:
       case Ending::time_out: return;
       case Ending::end_of_connection: return server_.finish(0);
       case Ending::reset:
@@ -186,13 +186,13 @@
 }
 
 std::string name_of_ending(const testing::TestParamInfo<Ending>& ending) {
-  static const char* const names[] = {"believed", "end_of_connection", "reset",
+  static const char* const names[] = {"accepted", "end_of_connection", "reset",
                                       "time_out", "called_off",        "own_answer_follows"};
   return names[static_cast<std::size_t>(ending.param)];
 }
 
 INSTANTIATE_TEST_SUITE_P(Endings, Answers,
-                         testing::Values(Ending::believed, Ending::end_of_connection, Ending::reset,
+                         testing::Values(Ending::accepted, Ending::end_of_connection, Ending::reset,
                                          Ending::time_out, Ending::called_off, Ending::own_answer_follows),
                          name_of_ending);
 
--- a/tests/fleet/component_stubs.h
+++ b/tests/fleet/component_stubs.h
@@ -20,7 +20,7 @@
   int turns = 0;
   void update_time(Millis) override {}
   void wait_told_early(DocId, int, Millis) override {}
-  Millis believe_after(const UnprovenAnswer&) override { return 0; }
+  Millis acceptance_delay(const UnprovenAnswer&) override { return 0; }
   void note_copied_answer(EndpointId) override {}
   void wait_told(EndpointId, Millis) override {}
   bool may_keep_connection(EndpointId, bool) override { return true; }
