Count the wait of an answer that stops short from its last byte, not from its header

What callers would see: a 429 whose header came early and whose body stopped 0.2 s later was followed by a call 0.16 s before its wait was over, counted from the last byte written. Cause: report_wait_early() told the wait once for each call; a whole answer tells it again at its end, one that stops short never did. Change: the wait is told again whenever more of the answer has come.

--- a/src/relay/endpoint_answers.cpp
+++ b/src/relay/endpoint_answers.cpp
@@ -14,10 +14,11 @@
 
 void Endpoints::Connection::report_wait_early(const HttpResponse& answer) {
   bool refused = answer.status == 429 || answer.status == 503;
-  if (!refused || wait_reported_) return;
+  const std::size_t bytes = stream_.received().size();
+  if (!refused || bytes == wait_reported_bytes_) return;
   const Millis wait = retry_after_of(answer);
   if (wait <= 0) return;
-  wait_reported_ = true;
+  wait_reported_bytes_ = bytes;
   owner_.on_wait_told_early(transmissions_[0].doc, transmissions_[0].transmission, wait);
 }
 
@@ -169,7 +170,12 @@
 void Endpoints::Connection::drop_copy(const HttpResponse& answer) {
   if (unproven_answer_.empty()) withdraw_recorded_ends();
   note_copy(answer.status);
+  consume(answer);
+}
+
+void Endpoints::Connection::consume(const HttpResponse& answer) {
   stream_.consume(answer.size);
+  wait_reported_bytes_ = 0;
 }
 
 void Endpoints::Connection::drop_unproven() {
@@ -206,7 +212,7 @@
   const bool is_logged = is_batch_ || kind == AnswerKind::over || kind == AnswerKind::attempts_spent;
   if (is_logged) log_answer("answer_kept", answer.status);
   record_possible_ends(AnswerKinds(answer, is_batch_));
-  stream_.consume(answer.size);
+  consume(answer);
   acceptance_timer_.set(acceptance_time());
 }
 
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -85,7 +85,7 @@
 void Endpoints::Connection::start_call(const std::vector<OutboundTransmission>& transmissions) {
   started_at_ = owner_.loop_.now();
   connection_idle_time_ = idle_since_ > 0 && !connecting() ? std::max(0.001, started_at_ - idle_since_) : 0;
-  wait_reported_ = unproven_ = disputed_ = false;
+  unproven_ = disputed_ = false, wait_reported_bytes_ = 0;
   ended_by_earlier_.clear(), recorded_ends_.clear();
   report_preconnect(PreconnectEvent::used);
   const Millis deadline = call_deadline(transmissions);
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -98,8 +98,8 @@
   // cancellation, so it counts.
   bool finished_by_pending_input();
 
-  // The wait binds from when it was written, and the rest of its answer may come late or never. The outcome
-  // is not taken from an answer that is not whole, as its status may be garbled.
+  // The wait counts from the last byte of its answer, and binds from its header on, as the rest may come late
+  // or never. The outcome is not taken from an answer that is not whole, as its status may be garbled.
   void report_wait_early(const HttpResponse& answer);
   Millis retry_after_of(const HttpResponse& answer) const;
   void log_invalid_header(const ParseError& fault) const;
@@ -150,6 +150,7 @@
   // What the answer itself says: one to several documents lists their ids, another one may repeat the id.
   Proof named_call(const HttpResponse& answer) const;
   void drop_copy(const HttpResponse& answer);
+  void consume(const HttpResponse& answer);
   void drop_unproven();
 
   // A further answer that proves nothing: which of them is that of the call is not known.
@@ -213,10 +214,10 @@
   std::vector<InFlightTransmission> transmissions_;
   std::string request_;
   bool is_batch_ = false;
-  bool deferred_ = false;           // connected, but told to begin later
-  bool connection_closed_ = false;  // the answer closes the connection
-  bool wait_reported_ = false;      // of this call, before its answer was whole
-  bool draining_ = false;           // the outcome is reported, the rest of the answer is still awaited
+  bool deferred_ = false;                // connected, but told to begin later
+  bool connection_closed_ = false;       // the answer closes the connection
+  std::size_t wait_reported_bytes_ = 0;  // that had come of the answer when its wait was last reported
+  bool draining_ = false;                // the outcome is reported, the rest of the answer is still awaited
   bool preconnected_ = false, was_connected_ = false;  // preconnected_: not used by a call yet
   Millis started_at_ = 0, written_at_ = 0, idle_since_ = 0, connection_idle_time_ = 0;
 };
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -55,6 +55,21 @@
   EXPECT_EQ(results(), Results{TransmissionResult::connection_lost});
 }
 
+// The wait of an answer that stops short ended too early, as it counted from its header and not from the last
+// byte written.
+TEST_F(Calls, WaitOfAnAnswerThatStopsShortCountsFromItsLastByte) {
+  std::vector<Millis> told_until;
+  endpoints_.on_wait_told_early = [&](DocId, int, Millis wait) { told_until.push_back(loop_.now() + wait); };
+  call({{1, 1000}});
+  wait_for_request(0);
+  server_.answer(0, "HTTP/1.1 429 Wait\r\nRetry-After: 2\r\n");
+  run_until([&] { return told_until.size() == 1; });
+  server_.answer(0, "Content-Length: 9\r\n\r\nab");
+  run_until([&] { return told_until.size() == 2; });
+  ASSERT_EQ(told_until.size(), 2U);
+  EXPECT_GT(told_until[1], told_until[0]);
+}
+
 TEST_F(Calls, AnswerInTheRoundOfItsCallOff) {
   call({{1, 1000}});
   wait_for_request(0);
