--- a/src/bench/fleet_bench.cpp
+++ b/src/bench/fleet_bench.cpp
@@ -1,6 +1,6 @@
 // Measures the fleet's features with real processes on loopback, in interleaved runs, and prints tables:
-// accepted documents, how fast a retry_after wait spreads, what a kill costs, and a warmed replacement
-// against a cold one. It checks nothing and replaces no test.
+// accepted documents, what calls cost, how fast a retry_after wait spreads, what a kill costs, and a warmed
+// replacement against a cold one. It checks nothing and replaces no test.
 
 #include <sys/types.h>
 
@@ -13,15 +13,22 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "bench/call_cost.h"
 #include "bench/load.h"
+#include "bench/measure.h"
 #include "trial/harness.h"
 
 namespace {
 
 using namespace rockcrank;
+using bench::client_addresses;
+using bench::format_spread;
 using bench::Load;
 using bench::LoadResult;
 using bench::LoadSettings;
+using bench::start_all;
+using bench::total_cpu_time;
+using bench::wait_for;
 using trial::Harness;
 using trial::Millis;
 using trial::Setup;
@@ -34,15 +41,6 @@
   double seconds = 1.5;
 };
 
-// Formats the minimum, median and maximum of several runs.
-std::string format_spread(std::vector<double> all, int decimals = 0) {
-  if (all.empty()) return "none";
-  std::sort(all.begin(), all.end());
-  char text[100];
-  std::snprintf(text, sizeof text, "%.*f / %.*f / %.*f", decimals, all.front(), decimals, all[all.size() / 2],
-                decimals, all.back());
-  return text;
-}
 double quantile(std::vector<Millis> all, double share) {
   if (all.empty()) return -1;
   auto at = std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())));
@@ -50,38 +48,12 @@
   return all[at];
 }
 
-// Returns the CPU time of a single-threaded process in ms.
-Millis cpu_time(pid_t process) {
-  std::ifstream file("/proc/" + std::to_string(process) + "/schedstat");
-  double nanos = 0;
-  file >> nanos;
-  return nanos / 1e6;
-}
-
 Setup base_setup(const Arguments& arguments, int relays) {
   Setup setup;
   setup.program = arguments.program, setup.relays = relays, setup.settings = trial::default_settings();
   setup.settings["specifics"]["slots"] = 128;
   return setup;
 }
-void start_all(Harness& harness, bool linked) {
-  for (const auto& name : harness.relay_names()) harness.start_without_waiting(name, {});
-  for (const auto& name : harness.relay_names())
-    if (!harness.run_until(8000, [&] { return harness.answers_ping(name); }))
-      throw std::runtime_error(name + " does not answer");
-  auto from = harness.now();
-  if (linked && !harness.run_until(8000, [&] { return harness.all_linked_since(from); }))
-    throw std::runtime_error("members do not reach each other");
-}
-void wait_for(Harness& harness, Millis time) {
-  harness.run_until(time, [] { return false; });
-}
-std::vector<trial::Address> client_addresses(const Harness& harness) {
-  std::vector<trial::Address> all;
-  for (const auto& name : harness.relay_names()) all.push_back(harness.client_address(name));
-  return all;
-}
-
 // ---- accepted documents
 
 struct AcceptedRun {
@@ -97,21 +69,16 @@
                          {{"for", "1"}, {"rate", "20000"}, {"hall", i % 2 ? "h1" : "h0"}});
   start_all(harness, harness.setup().fleet);
   wait_for(harness, 300);
-  auto total_cpu_time = [&] {
-    Millis sum = 0;
-    for (const auto& name : harness.relay_names()) sum += cpu_time(harness.pid_of(name));
-    return sum;
-  };
   AcceptedRun run;
   LoadSettings load_settings;
   load_settings.relays = client_addresses(harness), load_settings.id_prefix = "p", load_settings.rate = pace;
-  auto before = total_cpu_time();
+  auto before = total_cpu_time(harness);
   Load paced(load_settings);
   wait_for(harness, arguments.seconds * 1000);
   auto first = paced.stop(0);
   wait_for(harness, 200);
-  run.cost =
-      (total_cpu_time() - before) * 1000 / static_cast<double>(std::max<std::uint64_t>(first.accepted, 1));
+  run.cost = (total_cpu_time(harness) - before) * 1000 /
+             static_cast<double>(std::max<std::uint64_t>(first.accepted, 1));
   run.p50 = quantile(first.answer_times, 0.5), run.p99 = quantile(first.answer_times, 0.99);
   load_settings.id_prefix = "s",
   load_settings.window = 256;  // relays answer once per tick, so a small window would measure the tick
@@ -393,12 +360,13 @@
 
 Arguments read_arguments(int argc, char** argv, double& pace) {
   cxxopts::Options options("rockcrank_fleet_bench", "Measures the fleet's features with real processes.");
-  options.add_options()("part", "taken, waits, kill or replaced; default: all",
+  options.add_options()("part", "taken, calls, waits, kill or replaced; default: all but calls",
                         cxxopts::value<std::string>())("rounds", "interleaved runs, 1 to 100",
                                                        cxxopts::value<int>()->default_value("3"))(
-      "seconds", "duration of each load in `taken`, 0.2 to 60",
-      cxxopts::value<double>()->default_value("1.2"))("pace", "documents a second to each relay in `taken`",
-                                                      cxxopts::value<double>()->default_value("500"))(
+      "seconds", "duration of each load in `taken` and `calls`, 0.2 to 60",
+      cxxopts::value<double>()->default_value("1.2"))(
+      "pace", "documents a second to each relay in `taken` and `calls`",
+      cxxopts::value<double>()->default_value("500"))(
       "program", "path of rockcrank; default: beside this program", cxxopts::value<std::string>())(
       "old", "another rockcrank to compare with, run without a fleet file", cxxopts::value<std::string>())(
       "h,help", "print this help");
@@ -417,8 +385,8 @@
   if (!(arguments.seconds >= 0.2 && arguments.seconds <= 60)) reject("--seconds must be from 0.2 to 60");
   if (!(pace >= 1 && pace <= 20000)) reject("--pace must be from 1 to 20000");
   if (!arguments.part.empty() && arguments.part != "taken" && arguments.part != "waits" &&
-      arguments.part != "kill" && arguments.part != "replaced")
-    reject("--part must be taken, waits, kill or replaced, not '" + arguments.part + "'");
+      arguments.part != "kill" && arguments.part != "replaced" && arguments.part != "calls")
+    reject("--part must be taken, calls, waits, kill or replaced, not '" + arguments.part + "'");
   if (arguments.program.empty())
     for (const char* candidate : {"rockcrank", "../rockcrank"}) {
       auto beside = std::filesystem::read_symlink("/proc/self/exe").parent_path() / candidate;
@@ -447,6 +415,9 @@
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     auto wanted = [&](const char* part) { return arguments.part.empty() || arguments.part == part; };
     if (wanted("taken")) measure_accepted(arguments, pace);
+    if (arguments.part == "calls")
+      bench::measure_call_cost(arguments.program, arguments.baseline, arguments.rounds,
+                               arguments.seconds * 1000, pace);
     if (wanted("waits")) measure_waits(arguments);
     if (wanted("kill")) measure_kill(arguments);
     if (wanted("replaced")) measure_replaced(arguments);
--- a/src/relay/endpoint_answers.cpp
+++ b/src/relay/endpoint_answers.cpp
@@ -237,10 +237,10 @@
     if (must_be_recorded(kinds.of(item.id))) recorded_ends_.insert(item.doc);
 }
 
-void Endpoints::Connection::log_forgotten_answer(const HttpResponse& answer,
+void Endpoints::Connection::log_unaccepted_answer(const HttpResponse& answer,
                                                  TransmissionResult ending) const {
-  ++owner_.answer_counts_.forgotten;
-  log_answer("answer_forgotten", answer.status, name_of(ending));
+  ++owner_.answer_counts_.not_accepted;
+  log_answer("answer_not_accepted", answer.status, name_of(ending));
 }
 
 void Endpoints::Connection::await_proof() {
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -281,7 +281,7 @@
 }
 
 void Endpoints::Connection::finish_with_kept(const HttpResponse& answer, TransmissionResult result) {
-  log_forgotten_answer(answer, result);
+  log_unaccepted_answer(answer, result);
   const AnswerKinds kinds(answer, is_batch_);
   const CallEnd end = disputed_ ? CallEnd::disputed : call_end_of(result);
   finish_each([&](const InFlightTransmission& item) { return verdict_of(kinds, item, end); }, 0, {});
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -165,7 +165,7 @@
   void withdraw_recorded_ends();
   // The previous process has recorded them.
   void restore_recorded_ends();
-  void log_forgotten_answer(const HttpResponse& answer, TransmissionResult ending) const;
+  void log_unaccepted_answer(const HttpResponse& answer, TransmissionResult ending) const;
 
   // The first bytes of a 200: the rest may never come, and may prove it.
   void await_proof();
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -114,12 +114,12 @@
       [](const std::vector<InFlightTransmission>&) {};
   // Answers that were not simply the next one to the call that was out.
   struct AnswerCounts {
-    std::uint64_t copied = 0;      // followed by the call's own answer, or naming another call
-    std::uint64_t unexpected = 0;  // no call was out
-    std::uint64_t early = 0;       // their call had not been written
-    std::uint64_t unproven = 0;    // accepted without a proof
-    std::uint64_t kept = 0;        // not proved, so not accepted at once
-    std::uint64_t forgotten = 0;   // kept, and not accepted when their call ended in another way
+    std::uint64_t copied = 0;        // followed by the call's own answer, or naming another call
+    std::uint64_t unexpected = 0;    // no call was out
+    std::uint64_t early = 0;         // their call had not been written
+    std::uint64_t unproven = 0;      // accepted without a proof
+    std::uint64_t kept = 0;          // not proved, so not accepted at once
+    std::uint64_t not_accepted = 0;  // kept, and not accepted when their call ended in another way
   };
   const AnswerCounts& answer_counts() const { return answer_counts_; }
   std::uint64_t closed_count(EndpointCloseReason reason) const {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -912,7 +912,7 @@
   add("answers_before_call", answers.early);
   add("answers_unproven", answers.unproven);
   add("answers_kept", answers.kept);
-  add("answers_forgotten", answers.forgotten);
+  add("answers_not_accepted", answers.not_accepted);
   for (std::size_t i = 0; i < endpoint_close_reason_count; ++i) {
     auto reason = static_cast<EndpointCloseReason>(i);
     add((std::string("connections_closed_") + name_of(reason)).c_str(), endpoints_.closed_count(reason));
--- a/src/trial/harness.h
+++ b/src/trial/harness.h
@@ -54,7 +54,7 @@
 
   // how: for=, hall=, rate= and kind= of a new endpoint; manner= a status, silent, reset, down or shut (503
   // during an outage); after= ms, wait= s, cut=1: closed before the body's end, times= N
-  // calls before it answers 200 again.
+  // calls before it answers 200 again, nth= N: only each Nth call is answered so.
   void set_endpoint(const std::string& name, const Options& how);
   // The endpoint writes answers twice. every= N: each Nth answer; after= ms behind it, or next= ms behind the
   // next call on its connection; times= further copies; pieces=1: one byte at a time; unique=1: each 200 has
@@ -139,7 +139,7 @@
     std::map<std::string, std::uint64_t> listeners;  // by relay, which identifies the caller
     std::map<std::string, int> ports;
     bool failing = false;
-    int answers = 0, transported = 0;
+    int calls = 0, answers = 0, transported = 0;
   };
   struct CalledDocument {
     std::string id, idempotency_key, body;
--- a/src/trial/harness_endpoints.cpp
+++ b/src/trial/harness_endpoints.cpp
@@ -127,6 +127,8 @@
   auto how = endpoint.how;
   if (endpoint.times == 0) how = {{"manner", "200"}, {"after", option(how, "after", "0")}};
   if (endpoint.times > 0) --endpoint.times;
+  const int nth = static_cast<int>(number(how, "nth", 1));
+  if (++endpoint.calls % nth != 0) how = {{"manner", "200"}};
   Answer answer = make_answer(endpoint, items, head.rfind(batch_request_line, 0) == 0, how);
   answer.relay = relay_name, answer.socket_id = sock.id;
   if (how["manner"] == "silent") return;
