Trial part copied_statuses: copies of answers of every status

Cause: copies and the protocol's whole table were drawn by parts of their own, so no rig had the copy of a 410 before another document's answer.

--- a/src/relay/endpoint_answers.cpp
+++ b/src/relay/endpoint_answers.cpp
@@ -238,7 +238,7 @@
 }
 
 void Endpoints::Connection::log_unaccepted_answer(const HttpResponse& answer,
-                                                 TransmissionResult ending) const {
+                                                  TransmissionResult ending) const {
   ++owner_.answer_counts_.not_accepted;
   log_answer("answer_not_accepted", answer.status, name_of(ending));
 }
--- a/src/trial/main.cpp
+++ b/src/trial/main.cpp
@@ -23,8 +23,9 @@
 using namespace rockcrank::trial;
 
 constexpr int exit_passed = 0, exit_violated = 1, exit_bad_arguments = 2;
-constexpr const char* part_names[] = {"fleet",   "documents", "warm",   "latest",  "cold",
-                                      "crowded", "waits",     "copies", "answers", "transport"};
+constexpr const char* part_names[] = {"fleet",   "documents", "warm",           "latest",
+                                      "cold",    "crowded",   "waits",          "copies",
+                                      "answers", "transport", "copied_statuses"};
 
 std::string listed_parts() {
   std::string all;
@@ -36,6 +37,7 @@
   if (part == "copies") return AnswerFaults::copies;
   if (part == "answers") return AnswerFaults::statuses;
   if (part == "transport") return AnswerFaults::transport;
+  if (part == "copied_statuses") return AnswerFaults::copied_statuses;
   return AnswerFaults::none;
 }
 
--- a/src/trial/wait_soak.cpp
+++ b/src/trial/wait_soak.cpp
@@ -36,8 +36,9 @@
     draw_faults();
     draw_crowd();
     draw_load();
-    if (faults == AnswerFaults::copies) draw_copies();
-    if (faults == AnswerFaults::statuses || faults == AnswerFaults::transport) draw_statuses();
+    const bool has_copies = faults == AnswerFaults::copies || faults == AnswerFaults::copied_statuses;
+    if (has_copies) draw_copies();
+    if (faults != AnswerFaults::none && faults != AnswerFaults::copies) draw_statuses();
     if (faults == AnswerFaults::transport) draw_transport();
   }
   Schedule& schedule() { return schedule_; }
