Withdraw a stream's delivery that failed, so that its ordered key goes on

Cause: the module keeps an ordered key closed until the report of an end is acknowledged; a delivery has no report, and its host never withdrew it. Class: an end that nobody acknowledges. Change: on_delivery_failed() withdraws the document from the module.

--- a/src/peer/streams.cpp
+++ b/src/peer/streams.cpp
@@ -353,6 +353,8 @@
     auto delivery = found->second;
     deliveries_.erase(found), ++failed_;
     relay_.store.remove(doc);
+    // No report acknowledges the end of a delivery, so nothing else would open its key again.
+    relay_.decision.withdraw(doc);
     begin_turn();
     log_.module().on_delivery_ended(delivery, false);
     schedule_turn();
