--- a/src/relay/endpoint_answers.cpp
+++ b/src/relay/endpoint_answers.cpp
@@ -54,7 +54,8 @@
   if (!complete && !draining_) report_wait_early(answer);
   if (partial && !draining_) record_begun_end(answer);
   if (partial && (!is_decided || draining_)) return false;
-  // Any other answer that cannot be read completely is ignored: its status line may be corrupt too.
+  // Any other answer that cannot be read completely proves nothing, as its status line may be corrupt too.
+  // Where that line says 410, abort() keeps the document from further calls and has it reported.
   if (!complete && !is_decided) return abort(TransmissionResult::connection_lost), false;
   if (!draining_ && history_.answers() > 0) {
     // The first bytes of a 200 may be those of a copy. One that is malformed is none: all before it were
--- a/src/trial/harness_endpoints.cpp
+++ b/src/trial/harness_endpoints.cpp
@@ -219,7 +219,7 @@
   Endpoint& endpoint = endpoints_.at(answer.endpoint);
   const int every = static_cast<int>(number(endpoint.transport, "every", 0));
   const bool cut = answer.how.count("cut") > 0;
-  if (every > 0 && ++endpoint.transported % every == 0 && !cut)
+  if (every > 0 && ++endpoint.transported % every == 0)
     return write_piece(std::make_shared<TransportedAnswer>(answer, endpoint.transport));
   record_answer(answer);
   event_loop_.send(*sock, answer.bytes);
