--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -620,6 +620,7 @@
   struct Options {
     bool streams = false;
     std::vector<int> subscribers;
+    std::size_t in_hall_b = 1;  // the last of the members; the others are in hall-a
     double link_delay = -1;  // not negative: through proxies
     std::string fleet_name = "review";
   };
@@ -638,7 +639,7 @@
           link = new LinkProxy(to->member_port, options.link_delay);
           port = link->port();
         }
-        file << "[[member]]\nname = \"" << to->name << "\"\nhall = \"" << (i == 2 ? "hall-b" : "hall-a")
+        file << "[[member]]\nname = \"" << to->name << "\"\nhall = \"" << (i + options.in_hall_b >= relays.size() ? "hall-b" : "hall-a")
              << "\"\nat = \"" << text_of(port) << "\"\n";
       }
       file << "[link]\nqueue_kb = 4096\nframe_kb = 1024\n[share]\non = true\n[documents]\ncopies = 2\nwait = true\n"
