--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -303,7 +303,8 @@
   void recover() { sleep_ms(100), ++generation_, silent_ = false, record("endpoint=%s answers again", name_.c_str()); }
   // Falls silent within the next call that it runs: after its effect, before its answer.
   void fall_silent_in_next_call() { silent_in_next_call_ = true; }
-  void set_refusing(bool refusing) { refusing_ = refusing; }  // answers 503 to everything
+  void refuse_next(int calls) { refusals_ = calls; }  // answers 503 to them; they never run
+  int refused() const { return refused_; }
   // The process ends: connections are reset, and new ones are refused.
   void end() {
     if (ended_.exchange(true)) return;
@@ -359,7 +360,8 @@
     Call call{at, name_, "", "", request.body, false};
     if (auto id = request.headers.find("request-id"); id != request.headers.end()) call.id = id->second;
     if (auto key = request.headers.find("idempotency-key"); key != request.headers.end()) call.key = key->second;
-    if (refusing_) {
+    if (refusals_-- > 0) {
+      ++refused_;
       record("endpoint=%s id=%s answer=503", name_.c_str(), call.id.c_str());
       return 503;
     }
@@ -380,8 +382,8 @@
   const double window_, work_;
   int listener_ = -1, port_ = 0;
   std::thread acceptor_;
-  std::atomic<bool> silent_{false}, silent_in_next_call_{false}, ended_{false}, refusing_{false};
-  std::atomic<int> generation_{0}, open_{0};
+  std::atomic<bool> silent_{false}, silent_in_next_call_{false}, ended_{false};
+  std::atomic<int> generation_{0}, open_{0}, refusals_{0}, refused_{0};
   std::mutex mutex_;
   std::map<std::string, double> first_run_;
   std::vector<Call> calls_;
