--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -33,10 +33,7 @@
       record("relay=%s new process says yes", relay.name.c_str());
       ::kill(old, SIGTERM);
       const double term = now_ms();
-      int status = 0;
-      while (waitpid(old, &status, WNOHANG) != old)
-        if (now_ms() > term + 3700) ::kill(old, SIGKILL);
-        else sleep_ms(10);
+      const int status = wait_or_kill(old, 3700);
       record("relay=%s old process ended %.0f ms after SIGTERM, status=%d", relay.name.c_str(), now_ms() - term, status);
       relay.admin_port = admin;
       sleep_ms(500);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -37,8 +37,7 @@
         else sleep_ms(20);
       record("relay=n1 new process says yes");
       ::kill(old, SIGTERM);
-      int status = 0;
-      waitpid(old, &status, 0);
+      const int status = wait_or_kill(old, 3700);
       record("relay=n1 old process ended, status=%d", status);
     }
     sleep_ms(3000);
@@ -46,7 +45,7 @@
     Endpoint insurer("s-insurer", window, 40, port);
     sleep_ms(500);  // `add_s` of the site: 0.28 to 2 s
     platform.set(insurer.listed(2, "Ready", unix_ms() - 500));
-    sleep_ms(1500);  // the relay has it; the end of s-bank is not told yet (`silent_notice_s`: 4.8 to 13 s)
+    sleep_ms(2600);  // past the grace of 2 s; the end of s-bank is not told yet (`silent_notice_s`: 4.8 to 13 s)
     for (int i = 0; i < 5; ++i) send(10 + i, 1), send(20 + i, 2), sleep_ms(200);
     sleep_ms(3000);
     Json gone = Json(platform.list()["targets"]);
--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -72,6 +72,44 @@
   using std::runtime_error::runtime_error;
 };
 
+// ---- the processes that the case started, ended with it whatever happens
+
+constexpr unsigned most_seconds = 115;
+constexpr int max_started = 256;
+inline volatile pid_t started[max_started];
+inline volatile sig_atomic_t started_count = 0;
+inline void note_started(pid_t pid) {
+  if (started_count >= max_started) return;
+  started[started_count] = pid;
+  started_count = started_count + 1;
+}
+// A child that has been waited for is forgotten, as its id may be given to another process.
+inline void forget_started(pid_t pid) {
+  for (int i = 0; i < started_count; ++i)
+    if (started[i] == pid) started[i] = 0;
+}
+inline void end_started() {
+  for (int i = 0; i < started_count; ++i)
+    if (started[i] > 0) ::kill(started[i], SIGKILL);
+  for (int i = 0; i < started_count; ++i)
+    if (started[i] > 0) ::waitpid(started[i], nullptr, 0);
+}
+inline void on_abort(int) {  // out of time, or asked to end: the case could not run
+  end_started();
+  _exit(2);
+}
+// Waits for a child, up to a time; then it is killed. Returns its status.
+inline int wait_or_kill(pid_t pid, double most) {
+  int status = 0;
+  const double until = now_ms() + most;
+  while (waitpid(pid, &status, WNOHANG) != pid) {
+    if (now_ms() > until) ::kill(pid, SIGKILL);
+    sleep_ms(5);
+  }
+  forget_started(pid);
+  return status;
+}
+
 // ---- sockets
 
 inline std::string host() {  // an address of this run alone, so that ports are free
@@ -578,6 +616,8 @@
       execl("/bin/sh", "sh", "-c", "exec build/rockcrank serve", nullptr);
       _exit(127);
     }
+    if (child < 0) throw CannotRun("cannot start a process");
+    note_started(child);
     pid = child;
     record("relay=%s started", name.c_str());
     return child;
@@ -593,12 +633,14 @@
   void kill() {
     if (pid <= 0) return;
     ::kill(pid, SIGCONT), ::kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
+    forget_started(pid);
     pid = -1, record("relay=%s SIGKILL", name.c_str());
   }
   bool is_running() {
     if (pid <= 0) return false;
     int status = 0;
     if (waitpid(pid, &status, WNOHANG) != pid) return true;
+    forget_started(pid);
     pid = -1;
     record("relay=%s ended, status=%d", name.c_str(), status);
     return false;
@@ -675,6 +717,8 @@
 // Runs the case and returns its exit code. The working folder is the root of the repository.
 inline int run_case(int argc, char** argv, const std::function<bool(const std::string& folder)>& holds) {
   ::signal(SIGPIPE, SIG_IGN);
+  for (int number : {SIGALRM, SIGTERM, SIGINT, SIGHUP, SIGSEGV, SIGABRT}) ::signal(number, on_abort);
+  alarm(most_seconds);
   if (argc < 2) return std::fprintf(stderr, "usage: %s RECORD\n", argv[0]), 2;
   record_file = std::fopen(argv[1], "w");
   if (!record_file) return 2;
@@ -689,6 +733,7 @@
     record("%s", code == 0 ? "the rule held" : "the rule was broken");
   } catch (const std::exception& error) { record("could not run: %s", error.what()); }
   stopping = true;
+  end_started();
   std::fflush(record_file);
   std::error_code ignored;
   if (const char* keep = std::getenv("KEEP"); keep && *keep)
