--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -116,7 +116,7 @@
   static const std::string address = [] {
     auto pid = static_cast<unsigned>(getpid());
     return "127." + std::to_string(130 + (pid >> 16 & 63)) + "." + std::to_string(pid >> 8 & 255) + "." +
-           std::to_string(pid & 255 ? pid & 255 : 1);
+           std::to_string(pid & 255);
   }();
   return address;
 }
@@ -127,7 +127,13 @@
   return at;
 }
 inline std::string text_of(int port) { return host() + ":" + std::to_string(port); }
-inline int listen_on(int port) {
+inline int port_of(int fd) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  return ntohs(at.sin_port);
+}
+inline int open_listener(int port) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   auto at = address_of(port);
@@ -137,22 +143,25 @@
   }
   return fd;
 }
-inline int port_of(int fd) {
-  sockaddr_in at{};
-  socklen_t size = sizeof at;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-  return ntohs(at.sin_port);
-}
-inline int free_port() {
+// Ports that were given out, to a listener here or to a relay that is yet to start: none is given twice.
+inline bool take_port(int port) {
   static std::mutex mutex;
-  static std::set<int> given;
+  static std::set<int> taken;
   Lock lock(mutex);
+  return taken.insert(port).second;
+}
+inline int listen_on(int port) {
   while (true) {
-    int fd = listen_on(0), port = port_of(fd);
+    int fd = open_listener(port);
+    if (port != 0 || take_port(port_of(fd))) return fd;
     ::close(fd);
-    if (given.insert(port).second) return port;
   }
 }
+inline int free_port() {
+  int fd = listen_on(0), port = port_of(fd);
+  ::close(fd);
+  return port;
+}
 inline int connect_to(int port) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
