--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -45,9 +45,9 @@
     Endpoint insurer("s-insurer", window, 40, port);
     sleep_ms(500);  // `add_s` of the site: 0.28 to 2 s
     platform.set(insurer.listed(2, "Ready", unix_ms() - 500));
-    sleep_ms(2600);  // past the grace of 2 s; the end of s-bank is not told yet (`silent_notice_s`: 4.8 to 13 s)
+    sleep_ms(2300);  // past the grace of 2 s; the end of s-bank is not told yet (`notice_s`: 0.86 to 4.8 s)
     for (int i = 0; i < 5; ++i) send(10 + i, 1), send(20 + i, 2), sleep_ms(200);
-    sleep_ms(3000);
+    sleep_ms(200);
     Json gone = Json(platform.list()["targets"]);
     for (auto& target : gone)
       if (target["uid"] == "s-bank") target["state"] = "Gone", platform.set(target);
