Combine the metadata of two journals instead of keeping what is read last

Cause: while a member of a fleet is replaced, two processes write journals in one state directory. After the next kill the replicas did not know the incarnation that is in the configurations of others, denied their votes, and owners stayed without one.

The log could not tell this apart from a cut link or a lost configuration; two lines were added that can.

Change: a name in two journals is combined by a function that is commutative, associative and idempotent, so neither the order of reading nor a kill at any step of a replacement matters: the union of incarnations, of a group the later vote and the newer configuration, of a route the later entry and the longer wait.

Before the change failed StoreOfReplacedProcess.AdoptedJournalDoesNotReplaceNewerMetadata and .MetadataSurvivesAKillInEitherOrderOfTheJournals, and CustodyReplacementTest.BothIncarnationsAreKnownAfterTheEarlierOneEnded and .BothIncarnationsAreKnownAfterAKillOfBoth; all pass now.

--- a/src/fleet/custody_election.cpp
+++ b/src/fleet/custody_election.cpp
@@ -211,8 +211,10 @@
   if (!message.yes) {
     group.highest_seen_term = std::max(group.highest_seen_term, message.term);
     // Safety: like a vote, this counts only for its election.
-    if (message.recovering && group.is_candidate && message.term == group.requested_term)
-      group.forgetful_members.insert(message.sender.member);
+    if (message.recovering && group.is_candidate && message.term == group.requested_term &&
+        group.forgetful_members.insert(message.sender.member).second)
+      log_event("no vote, its state directory does not know its place", group, message.sender.member,
+                group.docs.size());
     if (!message.configuration.owner.is_valid()) return;
     // Safety: it knows fewer of its own revisions than another member does. Its state directory is older
     // and it must not continue.
--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "fleet/custody_state.h"
 #include "peer/codec.h"
 #include "peer/deferred_replies.h"
 #include "peer/fleet.h"
@@ -26,7 +27,6 @@
 using fleet::MemberId;
 using fleet::PersistentGroupState;
 
-constexpr std::size_t max_past_incarnations = 64;  // incarnations remembered in the folder
 constexpr std::size_t min_free_bytes = 64 * 1024;  // with less free space, other members take over first
 constexpr Millis min_log_interval = 1000;          // minimum between log lines
 
@@ -45,6 +45,19 @@
 
 const std::string incarnations_key = "custody lives", group_key_prefix = "custody group ";
 
+std::string unreadable_metadata(const std::string& name, const fleet::FleetError& error) {
+  return std::string("documents: ") +
+         fleet::BadStateFile("a metadata entry cannot be read", name, error.what()).what();
+}
+
+bool is_readable(const std::string& name, const std::string& text) {
+  try {
+    if (name == incarnations_key) unpacked<std::vector<Incarnation>>(text);
+    else unpacked<PersistentGroupState>(text);
+    return true;
+  } catch (const fleet::FleetError&) { return false; }
+}
+
 class CustodyComponent final : public FleetComponent {
  public:
   explicit CustodyComponent(const ComponentContext& context)
@@ -62,20 +75,7 @@
 
   void start() override {
     begin_turn();
-    std::vector<Incarnation> incarnations;
-    for (const auto& [name, text] : store_.metadata()) try {
-        if (name == incarnations_key) incarnations = unpacked<std::vector<Incarnation>>(text);
-        else if (name.starts_with(group_key_prefix))
-          custody_->restore_group(unpacked<PersistentGroupState>(text));
-      } catch (const fleet::FleetError& error) {
-        log_line("documents: %s",
-                 fleet::BadStateFile("a metadata entry cannot be read", name, error.what()).what());
-      }
-    for (const auto& incarnation : incarnations) custody_->add_past_incarnation(incarnation);
-    incarnations.push_back(context_.incarnation);
-    if (incarnations.size() > max_past_incarnations) incarnations.erase(incarnations.begin());
-    store_.set_metadata(incarnations_key, packed(incarnations));
-    store_.flush();
+    restore_metadata();
     last_recovered_number_ = store_.last_doc_number();
     for (const auto& [doc, document] : store_.documents()) register_document(doc);
     schedule_turn();
@@ -158,6 +158,23 @@
   }
 
  private:
+  void restore_metadata() {
+    std::vector<Incarnation> incarnations;
+    std::size_t groups = 0;
+    for (const auto& [name, text] : store_.metadata()) try {
+        if (name == incarnations_key) incarnations = unpacked<std::vector<Incarnation>>(text);
+        else if (name.starts_with(group_key_prefix))
+          custody_->restore_group(unpacked<PersistentGroupState>(text)), ++groups;
+      } catch (const fleet::FleetError& error) { log_line("%s", unreadable_metadata(name, error).c_str()); }
+    std::erase(incarnations, context_.incarnation);
+    for (const auto& incarnation : incarnations) custody_->add_past_incarnation(incarnation);
+    log_line("documents: the state directory knows %zu earlier incarnations and %zu groups",
+             incarnations.size(), groups);
+    store_.set_metadata(incarnations_key,
+                        packed(fleet::merge_incarnations(incarnations, {context_.incarnation})));
+    store_.flush();
+  }
+
   // Uses the current time, not the loop's, so that a process that was stopped notices that its lease has
   // expired.
   // Returns the time that the module has been given, as Unix time.
@@ -334,6 +351,19 @@
 
 }  // namespace
 
+std::string merge_metadata(const std::string& name, const std::string& one, const std::string& other) {
+  const bool is_group = name.starts_with(group_key_prefix);
+  if (name != incarnations_key && !is_group) return greater_metadata(name, one, other);
+  if (!is_readable(name, one) && !is_readable(name, other)) return greater_metadata(name, one, other);
+  if (!is_readable(name, one)) return other;
+  if (!is_readable(name, other)) return one;
+  if (is_group)
+    return packed(fleet::merge_group_states(unpacked<PersistentGroupState>(one),
+                                            unpacked<PersistentGroupState>(other)));
+  return packed(fleet::merge_incarnations(unpacked<std::vector<Incarnation>>(one),
+                                          unpacked<std::vector<Incarnation>>(other)));
+}
+
 std::unique_ptr<FleetComponent> make_custody(const ComponentContext& context) {
   if (context.config.replica_count == 0) return nullptr;
   return std::make_unique<CustodyComponent>(context);
--- a/src/peer/fleet.h
+++ b/src/peer/fleet.h
@@ -39,6 +39,9 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// Combines two values of a metadata name of the fleet, as Store's MergeMetadata.
+std::string merge_metadata(const std::string& name, const std::string& one, const std::string& other);
+
 // Factories of the components; nullptr if the fleet file does not enable the component.
 // replicated registers and the state file
 std::unique_ptr<FleetComponent> make_shared_state(const ComponentContext& context);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -46,6 +46,11 @@
   return handover;
 }
 
+std::string merge_metadata(const std::string& name, const std::string& one, const std::string& other) {
+  return RouteStateStore::owns_name(name) ? RouteStateStore::merge(one, other)
+                                          : peer::merge_metadata(name, one, other);
+}
+
 std::string busy_reply(Millis wait) {
   return wait > 0 ? "-BUSY " + std::to_string(static_cast<long>(std::ceil(wait))) + "\r\n" : "-BUSY\r\n";
 }
@@ -64,9 +69,10 @@
       fleet_config_(peer::load_fleet_config(config_)),
       loop_(loop),
       store_(payload
-                 ? Store(config_.state_folder, config_.max_disk_bytes, store_from_handover(state, *payload))
+                 ? Store(config_.state_folder, config_.max_disk_bytes, store_from_handover(state, *payload),
+                         merge_metadata)
                  : Store(config_.state_folder,
-                         config_.max_disk_bytes - peer::reserved_disk_bytes(fleet_config_))),
+                         config_.max_disk_bytes - peer::reserved_disk_bytes(fleet_config_), merge_metadata)),
       decision_(Decision::make(config_.settings, config_.seed)),
       clients_(loop_, config_.listen, config_.inherited_socket,
                {config_.max_client_connections,
--- a/src/relay/route_state_store.cpp
+++ b/src/relay/route_state_store.cpp
@@ -3,6 +3,7 @@
 #include "relay/route_state_store.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -46,6 +47,27 @@
   return std::max(0.0, age);
 }
 
+bool is_complete(const Json& entry) {
+  if (!entry.is_object()) return false;
+  return std::ranges::all_of(std::array{"machine_start", "monotonic", "wall", "told_left"}, [&](auto field) {
+    return entry.contains(field) && entry.at(field).is_number();
+  });
+}
+
+// From the writing of one entry to that of the other, by the clock that both can be compared on.
+Millis time_between(const Json& earlier, const Json& later) {
+  const auto boot = earlier.at("machine_start").get<std::uint64_t>();
+  const bool same_boot = boot != 0 && boot == later.at("machine_start").get<std::uint64_t>();
+  const char* clock = same_boot ? "monotonic" : "wall";
+  return later.at(clock).get<double>() - earlier.at(clock).get<double>();
+}
+
+// Entries of the same time are ordered by their texts, so that the order is total.
+bool written_after(const Json& one, const Json& other) {
+  const Millis between = time_between(other, one);
+  return between != 0 ? between > 0 : one.dump() > other.dump();
+}
+
 // The state in an entry, with its durations brought up to now.
 RouteStatus decode(const std::string& text) {
   Json entry = Json::parse(text);
@@ -83,6 +105,24 @@
   if (restored > 0) log_line("event=routes_remembered routes=%d", restored);
 }
 
+bool RouteStateStore::owns_name(const std::string& metadata_name) {
+  return metadata_name.starts_with(name_prefix);
+}
+
+std::string RouteStateStore::merge(const std::string& one, const std::string& other) {
+  const Json first = Json::parse(one, nullptr, false), second = Json::parse(other, nullptr, false);
+  if (!is_complete(first) && !is_complete(second)) return std::max(one, other);
+  if (!is_complete(first)) return other;
+  if (!is_complete(second)) return one;
+  const bool first_is_later = written_after(first, second);
+  Json later = first_is_later ? first : second;
+  const Json& earlier = first_is_later ? second : first;
+  const Millis elapsed = time_between(earlier, later);
+  later["told_left"] =
+      std::max(later.at("told_left").get<double>(), earlier.at("told_left").get<double>() - elapsed);
+  return later.dump();
+}
+
 void RouteStateStore::save() {
   for (const auto& status : decision_.route_statuses_to_persist()) {
     bool must_persist = status.state != RouteState::healthy || status.retry_after_left > 0;
--- a/src/relay/route_state_store.h
+++ b/src/relay/route_state_store.h
@@ -3,6 +3,8 @@
 // without this state they would go at full rate to a destination that is down or has just recovered.
 #pragma once
 
+#include <string>
+
 #include "decision/decision.h"
 #include "relay/store.h"
 
@@ -13,7 +15,11 @@
   RouteStateStore(Store& store, Decision& decision) : store_(store), decision_(decision) {}
 
   void restore();  // passes the previous process's state to the decision module, within a turn
-  void save();     // queues what has changed; it is durable once the store is flushed
+  static bool owns_name(const std::string& metadata_name);
+  // Combines what two processes have stored about one route, as Store's MergeMetadata: the later entry with
+  // the longer of both waits.
+  static std::string merge(const std::string& one, const std::string& other);
+  void save();  // queues what has changed; it is durable once the store is flushed
 
  private:
   Store& store_;
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -246,8 +246,15 @@
   return boot;
 }
 
-Store::Store(std::string folder, std::size_t max_bytes)
-    : folder_(std::move(folder)), max_bytes_(max_bytes), ended_(max_bytes) {
+std::string greater_metadata(const std::string&, const std::string& one, const std::string& other) {
+  return std::max(one, other);
+}
+
+Store::Store(std::string folder, std::size_t max_bytes, MergeMetadata merge_metadata)
+    : folder_(std::move(folder)),
+      max_bytes_(max_bytes),
+      merge_metadata_(std::move(merge_metadata)),
+      ended_(max_bytes) {
   std::filesystem::create_directories(folder_);
   find_files();
   record_clock();
@@ -259,9 +266,11 @@
     throw std::runtime_error("cannot write in the folder " + folder_ + ": " + std::strerror(write_error_));
 }
 
-Store::Store(std::string folder, std::size_t max_bytes, const HandoverState& state)
+Store::Store(std::string folder, std::size_t max_bytes, const HandoverState& state,
+             MergeMetadata merge_metadata)
     : folder_(std::move(folder)),
       max_bytes_(max_bytes),
+      merge_metadata_(std::move(merge_metadata)),
       path_(state.path),
       ended_(max_bytes),
       fd_(state.descriptor) {
@@ -314,7 +323,11 @@
 
 void Store::recover_file(const std::string& path, int fd) {
   std::remove((path + ".new").c_str());
+  // Within a journal a later value replaces an earlier one; between journals neither does.
+  const auto known = metadata_;
+  for (const auto& [name, text] : known) assign_metadata(name, {});
   replay(read_file(path), last_doc_number_);
+  combine_metadata(known);
   has_recovered_file_ = true;
   record_clock();
   recovered_files_.emplace_back(path, fd);
@@ -488,6 +501,23 @@
   apply(metadata_kind, DocId{}, payload);
 }
 
+void Store::assign_metadata(const std::string& name, const std::string& text) {
+  if (auto known = metadata_.find(name); known != metadata_.end()) {
+    metadata_bytes_ -= encode_metadata(name, known->second).size() + record_overhead_bytes;
+    metadata_.erase(known);
+  }
+  if (text.empty()) return;
+  metadata_bytes_ += encode_metadata(name, text).size() + record_overhead_bytes;
+  metadata_[name] = text;
+}
+
+void Store::combine_metadata(const std::map<std::string, std::string>& found) {
+  for (const auto& [name, text] : found) {
+    auto known = metadata_.find(name);
+    assign_metadata(name, known == metadata_.end() ? text : merge_metadata_(name, known->second, text));
+  }
+}
+
 void Store::set_fleet_id(DocId doc, const std::string& fleet_id) {
   auto found = documents_.find(doc);
   if (found == documents_.end()) return;
@@ -616,13 +646,8 @@
     return;
   }
   if (kind == metadata_kind) {
-    auto name = reader.text(), text = reader.text();
-    if (auto known = metadata_.find(name); known != metadata_.end())
-      metadata_bytes_ -= encode_metadata(name, known->second).size() + record_overhead_bytes,
-          metadata_.erase(known);
-    if (!text.empty())
-      metadata_bytes_ += encode_metadata(name, text).size() + record_overhead_bytes, metadata_[name] = text;
-    return;
+    const std::string name = reader.text(), text = reader.text();
+    return assign_metadata(name, text);
   }
   if (kind == clock_kind) return apply_clock(reader);
   if (kind == remembered_end_kind) {
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -45,6 +45,14 @@
   bool journaled = false;        // its document record is written, or queued for the next flush
 };
 
+// Combines two values of one metadata name that two processes have written to their journals. To be
+// commutative, associative and idempotent, since the order in which journals are read says nothing about
+// their age.
+using MergeMetadata =
+    std::function<std::string(const std::string& name, const std::string& one, const std::string& other)>;
+// For names that need no more: the greater of the two.
+std::string greater_metadata(const std::string& name, const std::string& one, const std::string& other);
+
 class Store {
  public:
   // The store as handed over to a successor process: the locked file and its contents.
@@ -57,8 +65,9 @@
   };
   static bool has_owner(const std::string& folder);  // by a running process
 
-  Store(std::string folder, std::size_t max_bytes);
-  Store(std::string folder, std::size_t max_bytes, const HandoverState& state);
+  Store(std::string folder, std::size_t max_bytes, MergeMetadata merge_metadata = greater_metadata);
+  Store(std::string folder, std::size_t max_bytes, const HandoverState& state,
+        MergeMetadata merge_metadata = greater_metadata);
   HandoverState handover_state() const;
   // Called for each record of a document as it is queued, with the record's kind: D accepted, S transmission,
   // N never ran, E ended, F removed. F is reported before the document is removed.
@@ -95,7 +104,8 @@
   // nothing has changed.
   bool set_offline(const std::string& endpoint, bool offline);
   const std::set<std::string>& offline_endpoints() const { return offline_endpoints_; }
-  // Named values kept across restarts for the fleet and the route state. An empty value removes the name.
+  // Named values kept across restarts for the fleet and the route state. An empty value removes the name. A
+  // value that another process has written is combined with this process's own by MergeMetadata.
   void set_metadata(const std::string& name, const std::string& text);
   const std::map<std::string, std::string>& metadata() const { return metadata_; }
   void set_fleet_id(DocId doc, const std::string& fleet_id);
@@ -114,6 +124,8 @@
 
  private:
   void record_clock();
+  void assign_metadata(const std::string& name, const std::string& text);
+  void combine_metadata(const std::map<std::string, std::string>& found);
   void find_files();
   void recover_file(const std::string& path, int fd);
   void replay(std::string_view bytes, std::uint64_t base);  // base: added to the numbers of its documents
@@ -131,6 +143,7 @@
 
   const std::string folder_;
   const std::size_t max_bytes_;
+  const MergeMetadata merge_metadata_;
   std::map<DocId, StoredDocument> documents_;
   std::unordered_map<std::string_view, DocId> by_id_;  // views of the ids in documents_
   std::uint64_t last_doc_number_ = 0;
--- a/tests/fleet/custody_host_test.cpp
+++ b/tests/fleet/custody_host_test.cpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "component_test.h"
 #include "fleet/custody.h"
@@ -85,5 +87,99 @@
   EXPECT_TRUE(received_.empty());
 }
 
+// Two processes of member "b" with one state directory, as while one is replaced. Neither has a link.
+class CustodyReplacementTest : public ComponentTest {
+ protected:
+  static constexpr Incarnation earlier_incarnation{5, 5}, later_incarnation{6, 6};
+
+  CustodyReplacementTest() {
+    config_.replica_count = 2, config_.wait_for_replica = true;
+    config_.lease_duration = 1000, config_.replication_timeout = 200;
+    config_.roster.push_back({member_id("c"), "c", "h0"});
+    config_.addresses[member_id("c")] = {"127.0.0.1", ports_["c"].port()};
+    std::ranges::sort(config_.roster, {}, &fleet::Member::id);
+    start_link();
+    store_.reset(), store_ = open_store();
+    custody_ = make_custody(context());
+    custody_->start();
+    later_store_ = open_store();
+    later_relay_.emplace(RelayContext{loop_,
+                                      decision_,
+                                      *later_store_,
+                                      endpoints_,
+                                      relay_config_,
+                                      listed_,
+                                      [this] { begin_turn(); },
+                                      [this] { return decision_time_; },
+                                      {},
+                                      {},
+                                      {},
+                                      {}});
+    later_context_.emplace(
+        ComponentContext{*later_relay_, config_, *membership_, *link_, later_incarnation, folder_, 1});
+    later_custody_ = make_custody(*later_context_);
+    later_custody_->start();
+  }
+  std::unique_ptr<Store> open_store() const {
+    return std::make_unique<Store>(folder_, 1 << 20, merge_metadata);
+  }
+  void end_earlier_process() {
+    custody_.reset(), store_.reset();
+    later_store_->adopt_orphaned_files();
+    run_for(2);
+  }
+  void end_later_process() { later_custody_.reset(), later_store_.reset(); }
+  // The earlier process becomes a replica of member "a", and votes for it in a later term.
+  void vote_in_earlier_process() {
+    const RelayInstance owner{member_id("a"), owner_incarnation};
+    CustodyMessage message;
+    message.kind = MessageKind::propose_configuration, message.sender = owner, message.group = group_;
+    message.configuration = {{6, member_id("a")}, 1, owner, {{member_id("b"), earlier_incarnation}}};
+    custody_->on_message(member_id("a"), packed(message));
+    message.kind = MessageKind::request_vote, message.term = voted_term_;
+    message.number = message.configuration.revision;
+    custody_->on_message(member_id("a"), packed(message));
+    run_for(2);
+  }
+  static std::vector<Incarnation> incarnations_in(const Store& store) {
+    return unpacked<std::vector<Incarnation>>(store.metadata().at("custody lives"));
+  }
+  std::string group_name() const { return "custody group " + packed(group_); }
+
+  const fleet::GroupId group_{member_id("a"), owner_incarnation.number};
+  const fleet::Version voted_term_{7, member_id("a")};
+  std::unique_ptr<Store> later_store_;
+  std::optional<RelayContext> later_relay_;
+  std::optional<ComponentContext> later_context_;
+  std::unique_ptr<FleetComponent> custody_, later_custody_;
+};
+
+// Guards against documents without an end: after a replacement the directory forgot the incarnation that is
+// in the configurations of others, and a restarted replica denied its vote.
+TEST_F(CustodyReplacementTest, BothIncarnationsAreKnownAfterTheEarlierOneEnded) {
+  end_earlier_process();
+  const std::vector<Incarnation> both{earlier_incarnation, later_incarnation};
+  EXPECT_EQ(incarnations_in(*later_store_), both);
+  end_later_process();
+  EXPECT_EQ(incarnations_in(*open_store()), both);
+}
+
+// Guards against the same where both are killed before the later process has adopted anything.
+TEST_F(CustodyReplacementTest, BothIncarnationsAreKnownAfterAKillOfBoth) {
+  end_later_process();
+  custody_.reset(), store_.reset();
+  EXPECT_EQ(incarnations_in(*open_store()),
+            (std::vector<Incarnation>{earlier_incarnation, later_incarnation}));
+}
+
+// Guards against two owners: a vote that the earlier process gave while the later one had started is kept.
+TEST_F(CustodyReplacementTest, VoteOfTheEarlierProcessIsKept) {
+  vote_in_earlier_process();
+  end_earlier_process();
+  ASSERT_EQ(later_store_->metadata().count(group_name()), 1u);
+  const auto state = unpacked<fleet::PersistentGroupState>(later_store_->metadata().at(group_name()));
+  EXPECT_EQ(state.voted_term, voted_term_);
+}
+
 }  // namespace
 }  // namespace rockcrank::peer
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -1,6 +1,9 @@
 // What custody needs of the store: fleet ids, metadata and the last document number survive a restart and a
 // compaction.
 
+#include <memory>
+#include <set>
+#include <sstream>
 #include <string>
 
 #include "../store_test.h"
@@ -46,5 +49,70 @@
   EXPECT_ANY_THROW(Store::decode(Store::encode(held).substr(0, 20)));
 }
 
+// Metadata of words: two processes of one folder know the words of both.
+class StoreOfReplacedProcess : public StoreTest {
+ protected:
+  std::unique_ptr<Store> open() const { return std::make_unique<Store>(folder_, 1 << 20, all_words); }
+  static std::string all_words(const std::string&, const std::string& one, const std::string& other) {
+    std::set<std::string> words;
+    std::istringstream both(one + " " + other);
+    for (std::string word; both >> word;) words.insert(word);
+    std::string all;
+    for (const auto& word : words) all += all.empty() ? word : " " + word;
+    return all;
+  }
+  static void note(Store& store, const std::string& text) {
+    store.set_metadata("words", text);
+    ASSERT_TRUE(store.flush());
+  }
+};
+
+// Guards against documents without an end: a journal that is adopted put older metadata in place of newer.
+TEST_F(StoreOfReplacedProcess, AdoptedJournalDoesNotReplaceNewerMetadata) {
+  auto earlier = open();
+  note(*earlier, "earlier");
+  auto later = open();
+  note(*later, "later");
+  note(*earlier, "earlier until_its_end");
+  earlier.reset();
+  later->adopt_orphaned_files();
+  EXPECT_EQ(later->metadata().at("words"), "earlier later until_its_end");
+  ASSERT_TRUE(later->flush());
+  later.reset();
+  EXPECT_EQ(open()->metadata().at("words"), "earlier later until_its_end");
+}
+
+// Guards against the same after a kill of both: the names of journals don't tell their age.
+TEST_F(StoreOfReplacedProcess, MetadataSurvivesAKillInEitherOrderOfTheJournals) {
+  for (bool earlier_is_read_first : {true, false}) {
+    SetUp();
+    std::unique_ptr<Store> first_file = earlier_is_read_first ? nullptr : open();
+    auto earlier = open();
+    note(*earlier, "earlier");
+    if (first_file) {
+      // Its journal is adopted, so that the first name is free for the later process.
+      first_file.reset();
+      earlier->adopt_orphaned_files();
+      ASSERT_TRUE(earlier->flush());
+    }
+    auto later = open();
+    note(*later, "later");
+    later.reset(), earlier.reset();
+    EXPECT_EQ(open()->metadata().at("words"), "earlier later") << earlier_is_read_first;
+  }
+}
+
+// Guards against values that come back: within one journal the last one counts, and a removed name is gone.
+TEST_F(StoreOfReplacedProcess, LaterRecordsOfOneJournalReplaceEarlierOnes) {
+  auto store = open();
+  note(*store, "first"), note(*store, "second");
+  store->set_metadata("removed", "x"), store->set_metadata("removed", "");
+  ASSERT_TRUE(store->flush());
+  store.reset();
+  store = open();
+  EXPECT_EQ(store->metadata().at("words"), "second");
+  EXPECT_EQ(store->metadata().count("removed"), 0u);
+}
+
 }  // namespace
 }  // namespace rockcrank
