--- a/src/fleet/custody.cpp
+++ b/src/fleet/custody.cpp
@@ -48,16 +48,25 @@
 
 void LeaseBasedCustody::begin_turn(Millis now) {
   now_ = std::max(now_, now);
-  if (started_ < 0) started_ = now_;
+  if (past_incarnations_ended_at_ < 0) past_incarnations_ended_at_ = now_;
 }
 
 void LeaseBasedCustody::restore_group(const PersistentGroupState& state) {
   Group& group = groups_[state.group];
   group.id = state.group;
-  group.voted_term = state.voted_term;
+  group.voted_term = std::max(group.voted_term, state.voted_term);
+  const bool is_known = !group.configurations.empty();
+  if (is_known &&
+      (state.configurations.empty() || !state.configurations.back().newer_than(group.configuration())))
+    return;
+  if (group.role == Role::replica) become_inactive(group);
+  if ((group.role == Role::owner || group.role == Role::recovering) && !state.is_owner)
+    step_down(group, state.configurations.back(), state.highest_document);
   group.configurations = state.configurations;
   group.highest_document = state.highest_document;
   group.role = state.is_owner ? Role::recovering : Role::inactive;
+  group.is_active = false;
+  group.is_candidate = false;
   group.recovery_started_at = now_;
   if (state.group.origin == self_.member && state.group.number >= current_group_.number)
     current_group_.number = state.group.number + 1;
--- a/src/fleet/custody.h
+++ b/src/fleet/custody.h
@@ -207,10 +207,13 @@
 
   // `now` is monotonic time and never goes back.
   virtual void begin_turn(Millis now) = 0;
-  // Restore what the state directory holds at startup, before any document: the state of each group, and the
-  // incarnations that have written there.
+  // Restore what the state directory holds, before any document: the state of each group, and the
+  // incarnations that have written there. At startup, and again when an earlier process of the directory has
+  // ended that was still running then; what is known here is not replaced by anything older.
   virtual void restore_group(const PersistentGroupState& state) = 0;
   virtual void add_past_incarnation(Incarnation incarnation) = 0;
+  // An earlier process of the directory was running until now. It may have granted leases until then.
+  virtual void on_previous_process_ended() = 0;
 
   virtual void on_member_change(MemberId member, Incarnation incarnation, MemberState state) = 0;
   virtual void on_link_change(MemberId peer, bool up) = 0;
@@ -224,8 +227,8 @@
   // Returns the id of a new document. The number increases with each call, also across restarts.
   virtual GlobalDocId next_document_id(std::uint64_t number) = 0;
   virtual void accept(const DocumentState& document) = 0;
-  // Restores a document found in the state directory at startup. `highest_number` is the highest one ever
-  // assigned there. The document must not be sent or ended until it is known that nobody took it over
+  // Restores a document found in the state directory, after its group. `highest_number` is the highest one
+  // ever assigned there. The document must not be sent or ended until it is known that nobody took it over
   // (Actions::resumed).
   virtual void restore_document(const DocumentState& document, std::uint64_t highest_number) = 0;
   // To be called before the transmission is sent.
--- a/src/fleet/custody_election.cpp
+++ b/src/fleet/custody_election.cpp
@@ -128,8 +128,9 @@
     if (!from_owner || !own_instance.is_valid() || !remembers) return deny();
   }
   // Safety: it does not know to whom that incarnation granted a lease either, so it waits until any has
-  // expired.
-  if (!same_incarnation && now_ < started_ + settings_.lease_duration * (1 + settings_.max_clock_drift))
+  // expired. While a process is replaced, the earlier one grants leases until it ends.
+  if (!same_incarnation &&
+      now_ < past_incarnations_ended_at_ + settings_.lease_duration * (1 + settings_.max_clock_drift))
     return deny();
   Group& group = groups_[message.group];
   group.id = message.group;
--- a/src/fleet/lease_based_custody.h
+++ b/src/fleet/lease_based_custody.h
@@ -26,6 +26,7 @@
 
   void restore_group(const PersistentGroupState& state) override;
   void add_past_incarnation(Incarnation incarnation) override { past_incarnations_.insert(incarnation); }
+  void on_previous_process_ended() override { past_incarnations_ended_at_ = now_; }
 
   void on_member_change(MemberId member, Incarnation incarnation, MemberState state) override;
   void on_link_change(MemberId peer, bool up) override;
@@ -179,7 +180,8 @@
   std::set<Incarnation> past_incarnations_;
   std::map<GroupId, Group> groups_;
   GroupId current_group_;
-  Millis now_ = 0, started_ = -1;
+  Millis now_ = 0;
+  Millis past_incarnations_ended_at_ = -1;  // from then on none of them grants a lease
   bool has_capacity_ = true, leaving_ = false;
   std::set<RelayInstance> leaving_instances_;  // other relays that are shutting down
   Statistics statistics_;
--- a/src/peer/component.h
+++ b/src/peer/component.h
@@ -70,6 +70,8 @@
  public:
   virtual ~FleetComponent() = default;
   virtual void start() {}  // the endpoint list is loaded, recovered documents are not yet processed
+  // The journal of the process that this one replaces was recovered; its documents are not yet processed.
+  virtual void on_previous_process_ended() {}
   // May throw BadMessage: the link is then closed and the peer logged.
   virtual void on_message(fleet::MemberId, std::string_view) {}
   virtual void on_link_change(fleet::MemberId, fleet::Incarnation, bool) {}
--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -81,6 +81,15 @@
     schedule_turn();
   }
 
+  // The journal of the previous process has what it voted and granted until its end, and its documents.
+  void on_previous_process_ended() override {
+    begin_turn();
+    restore_metadata();
+    custody_->on_previous_process_ended();
+    last_recovered_number_ = store_.last_doc_number();
+    schedule_turn();
+  }
+
   void on_message(MemberId from, std::string_view payload) override {
     auto message = unpacked<CustodyMessage>(payload);
     requesters_[from] = message.sender.incarnation;
--- a/src/peer/fleet.cpp
+++ b/src/peer/fleet.cpp
@@ -149,6 +149,9 @@
            static_cast<unsigned long long>(impl_->own_incarnation.number), impl_->config.roster.size(),
            impl_->components.size());
 }
+void Fleet::on_previous_process_ended() {
+  impl_->for_each([](FleetComponent& component) { component.on_previous_process_ended(); });
+}
 void Fleet::before_turn() {
   impl_->for_each([](FleetComponent& component) { component.before_turn(); });
 }
--- a/src/peer/fleet.h
+++ b/src/peer/fleet.h
@@ -22,6 +22,8 @@
   Fleet& operator=(const Fleet&) = delete;
 
   void start();  // called once the decision module has the endpoint list
+  // The journal of the process that this one replaces was recovered. Called before its documents are resumed.
+  void on_previous_process_ended();
   void before_turn();
   void after_turn(const Actions& actions);
   void on_store_record(char kind, DocId doc, int transmission);
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -341,7 +341,7 @@
   for (const auto& path : std::exchange(other_files_, {})) {
     int fd = open_locked(path);
     if (fd == locked_by_other) still_owned.push_back(path);
-    else if (fd >= 0) recover_file(path, fd);
+    else if (fd >= 0) adopted.any_file = true, recover_file(path, fd);
   }
   other_files_ = std::move(still_owned);
   // Read at the start already; changes since then are known to this process only.
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -79,6 +79,7 @@
   bool has_recovered_file() const { return has_recovered_file_; }
   // A document that was accepted here while the other process still had it keeps what is known of it there.
   struct Adopted {
+    bool any_file = false;
     std::vector<DocId> found, merged;
     std::vector<std::pair<DocId, DocumentFate>> over;  // accepted here, and already ended there
   };
--- a/tests/fleet/custody_election_test.cpp
+++ b/tests/fleet/custody_election_test.cpp
@@ -218,5 +218,61 @@
   }
 }
 
+// A replica whose process is replaced: the new process has learned what the earlier one left behind.
+class CustodyReplacedVoterTest : public testing::Test {
+ protected:
+  static constexpr Millis lease_duration = 1000, max_clock_drift = 0.01;
+  static constexpr RelayInstance group_owner{owner, {3, 3}}, restarted_owner{owner, {4, 4}};
+  static constexpr RelayInstance earlier{first_replica, {5, 5}};
+
+  CustodyReplacedVoterTest()
+      : custody_(
+            Custody::make({{owner, "n1", "h0"}, {first_replica, "n2", "h0"}, {second_replica, "n3", "h0"}},
+                          first_replica, {6, 6}, {lease_duration, max_clock_drift, 200, true}, 7)) {
+    custody_->begin_turn(now_);
+  }
+  void end_earlier_process_at(Millis at) {
+    custody_->begin_turn(now_ = at);
+    custody_->add_past_incarnation(earlier.incarnation);
+    PersistentGroupState state;
+    state.group = {owner, 3}, state.configurations = {configuration()},
+    state.voted_term = configuration().term;
+    custody_->restore_group(state);
+    custody_->on_previous_process_ended();
+  }
+  static Configuration configuration() {
+    return {{1, owner}, 1, group_owner, {earlier, {second_replica, {1, 1}}}};
+  }
+  // Whether it votes for the owner, which has restarted, at this time.
+  bool votes_at(Millis at) {
+    custody_->begin_turn(now_ = at);
+    CustodyMessage request;
+    request.kind = Kind::request_vote, request.group = {owner, 3}, request.sender = restarted_owner;
+    request.configuration = configuration(), request.term = {++term_, owner}, request.number = 1;
+    request.recovering = true;
+    custody_->on_message(owner, request);
+    for (const auto& send : custody_->decide().sends)
+      if (send.message.kind == Kind::vote) return send.message.yes;
+    return false;
+  }
+
+  Millis now_ = 1000;
+  std::uint64_t term_ = 1;
+  std::unique_ptr<Custody> custody_;
+};
+
+// Guards against two owners: the earlier process granted a lease after the later one had started, which voted
+// for another owner before that lease had ended.
+TEST_F(CustodyReplacedVoterTest, VotesOnceALeaseOfTheEarlierProcessHasEnded) {
+  const Millis ended_at = 9000;
+  end_earlier_process_at(ended_at);
+  EXPECT_FALSE(votes_at(ended_at));
+  EXPECT_FALSE(votes_at(ended_at + lease_duration * (1 + max_clock_drift) - 1));
+  EXPECT_TRUE(votes_at(ended_at + lease_duration * (1 + max_clock_drift) + 1));
+}
+
+// Guards against a vote by a process that does not know yet what the earlier one voted.
+TEST_F(CustodyReplacedVoterTest, DoesNotVoteBeforeTheEarlierProcessHasEnded) { EXPECT_FALSE(votes_at(9000)); }
+
 }  // namespace
 }  // namespace rockcrank::fleet
--- a/tests/fleet/custody_host_test.cpp
+++ b/tests/fleet/custody_host_test.cpp
@@ -125,7 +125,8 @@
   }
   void end_earlier_process() {
     custody_.reset(), store_.reset();
-    later_store_->adopt_orphaned_files();
+    ASSERT_TRUE(later_store_->adopt_orphaned_files().any_file);
+    later_custody_->on_previous_process_ended();
     run_for(2);
   }
   void end_later_process() { later_custody_.reset(), later_store_.reset(); }
@@ -172,6 +173,26 @@
             (std::vector<Incarnation>{earlier_incarnation, later_incarnation}));
 }
 
+// Guards against two owners: the later process took the earlier one's documents for its own without the votes
+// of those who have copies, and may have taken them over.
+TEST_F(CustodyReplacementTest, DocumentsOfTheEarlierProcessNeedAVote) {
+  for (const char* replica : {"a", "c"})
+    custody_->on_member_change(member_id(replica), {3, 3}, fleet::MemberState::alive);
+  run_for(2);
+  store_->on_record = [this](char kind, DocId doc, int number) {
+    custody_->on_store_record(kind, doc, number);
+  };
+  StoredDocument document;
+  document.id = "d1", document.max_transmissions = 3, document.expiry = EventLoop::wall_time() + 60000;
+  store_->record_accepted(store_->add(std::move(document)));
+  run_for(2);
+  ASSERT_TRUE(store_->flush());
+  end_earlier_process();
+  ASSERT_EQ(later_store_->documents().size(), 1u);
+  const DocId adopted = later_store_->documents().begin()->first;
+  EXPECT_FALSE(run_until(4 * config_.lease_duration, [&] { return later_custody_->owns(adopted); }));
+}
+
 // Guards against two owners: a vote that the earlier process gave while the later one had started is kept.
 TEST_F(CustodyReplacementTest, VoteOfTheEarlierProcessIsKept) {
   vote_in_earlier_process();
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -75,7 +75,7 @@
   note(*later, "later");
   note(*earlier, "earlier until_its_end");
   earlier.reset();
-  later->adopt_orphaned_files();
+  EXPECT_TRUE(later->adopt_orphaned_files().any_file);
   EXPECT_EQ(later->metadata().at("words"), "earlier later until_its_end");
   ASSERT_TRUE(later->flush());
   later.reset();
