--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -344,7 +344,10 @@
 void Relay::adopt_orphaned_documents() {
   begin_turn();
   const Store::Adopted adopted = store_.adopt_orphaned_files();
-  if (fleet_ && adopted.any_file) fleet_->on_previous_process_ended();
+  if (adopted.any_file) {
+    if (fleet_) fleet_->on_previous_process_ended();
+    if (route_state_store_) route_state_store_->restore();
+  }
   for (DocId doc : adopted.found) resume_document(doc);
   // Handed in again here while the other process had it: nothing was sent from here yet.
   for (DocId doc : adopted.merged) {
