Merge a document that two journals have also at a start

Callers would see: a document that is not idempotent with two effects, after a kill at certain steps of a replacement.

--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -309,7 +309,7 @@
     if (path == path_) continue;
     int fd = open_locked(path);
     if (fd == locked_by_other) other_files_.push_back(path);
-    else if (fd >= 0) recover_file(path, fd);
+    else if (fd >= 0) recover_file(path, fd, recovered_);
     if (fd != locked_by_other && path_.empty()) path_ = path;
   }
   if (path_.empty())
@@ -321,8 +321,11 @@
     });
 }
 
-void Store::recover_file(const std::string& path, int fd) {
+void Store::recover_file(const std::string& path, int fd, Adopted& adopted) {
   std::remove((path + ".new").c_str());
+  const std::uint64_t first_found = last_doc_number_ + 1;
+  std::set<std::string> ended_before;
+  ended_.for_each([&](const std::string& id, const EndedDocument&) { ended_before.insert(id); });
   // Within a journal a later value replaces an earlier one; between journals neither does.
   const auto known = metadata_;
   for (const auto& [name, text] : known) assign_metadata(name, {});
@@ -331,27 +334,34 @@
   has_recovered_file_ = true;
   record_clock();
   recovered_files_.emplace_back(path, fd);
+  merge_documents(first_found, adopted);
+  find_ended_elsewhere(first_found, ended_before, adopted);
 }
 
 Store::Adopted Store::adopt_orphaned_files() {
   Adopted adopted;
-  auto last_before = last_doc_number_;
   auto offline = offline_endpoints_;
   std::vector<std::string> still_owned;
   for (const auto& path : std::exchange(other_files_, {})) {
     int fd = open_locked(path);
     if (fd == locked_by_other) still_owned.push_back(path);
-    else if (fd >= 0) adopted.any_file = true, recover_file(path, fd);
+    else if (fd >= 0) adopted.any_file = true, recover_file(path, fd, adopted);
   }
   other_files_ = std::move(still_owned);
   // Read at the start already; changes since then are known to this process only.
   offline_endpoints_ = std::move(offline);
-  for (auto found = documents_.upper_bound(DocId(last_before)); found != documents_.end();) {
+  if (!recovered_files_.empty()) rewrite_needed_ = true;  // this process's own file doesn't have them yet
+  return adopted;
+}
+
+// Two journals may have the same document: if a process was killed between renaming the compacted file and
+// deleting the recovered one, or if it was handed in again at the later process. Documents of one journal are
+// left as they are. first_found: the lowest number of the journal that was read last.
+void Store::merge_documents(std::uint64_t first_found, Adopted& adopted) {
+  for (auto found = documents_.lower_bound(DocId(first_found)); found != documents_.end();) {
     auto at = found++;
-    // Both files may have the document if a process was killed between renaming the compacted file and
-    // deleting the recovered one, or if it was handed in again here.
     const DocId accepted = by_id_.at(at->second.id);
-    if (accepted == at->first) {
+    if (accepted >= DocId(first_found)) {
       adopted.found.push_back(at->first);
       continue;
     }
@@ -359,10 +369,17 @@
     live_bytes_ -= at->second.record_bytes;
     documents_.erase(at);
   }
-  for (const auto& [doc, document] : documents_)
-    if (auto fate = fate_of(document.id); fate && !document.ended) adopted.over.emplace_back(doc, *fate);
-  if (!recovered_files_.empty()) rewrite_needed_ = true;  // this process's own file doesn't have them yet
-  return adopted;
+}
+
+// A document of one journal whose end another one remembers. ended_before: what the journals before the last
+// one remember.
+void Store::find_ended_elsewhere(std::uint64_t first_found, const std::set<std::string>& ended_before,
+                                 Adopted& adopted) const {
+  for (const auto& [doc, document] : documents_) {
+    const auto fate = fate_of(document.id);
+    const bool is_found = doc >= DocId(first_found), was_ended = ended_before.count(document.id) > 0;
+    if (fate && !document.ended && is_found == was_ended) adopted.over.emplace_back(doc, *fate);
+  }
 }
 
 DocId Store::add(StoredDocument document) {
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -84,6 +84,8 @@
     std::vector<std::pair<DocId, DocumentFate>> over;  // accepted here, and already ended there
   };
   Adopted adopt_orphaned_files();
+  // What the journals read at the start held of documents that are in more than one of them.
+  const Adopted& recovered() const { return recovered_; }
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
@@ -128,11 +130,14 @@
   void assign_metadata(const std::string& name, const std::string& text);
   void combine_metadata(const std::map<std::string, std::string>& found);
   void find_files();
-  void recover_file(const std::string& path, int fd);
+  void recover_file(const std::string& path, int fd, Adopted& adopted);
   void replay(std::string_view bytes, std::uint64_t base);  // base: added to the numbers of its documents
   std::string snapshot() const;
   void remember_end(const StoredDocument& document);
   void apply_clock(RecordReader& reader);
+  void merge_documents(std::uint64_t first_found, Adopted& adopted);
+  void find_ended_elsewhere(std::uint64_t first_found, const std::set<std::string>& ended_before,
+                            Adopted& adopted) const;
   // Whether a document that was accepted here is merged with the one found in another process's file.
   bool merge(StoredDocument& accepted, const StoredDocument& found) const;
   std::size_t max_file_bytes() const;
@@ -149,7 +154,8 @@
   std::unordered_map<std::string_view, DocId> by_id_;  // views of the ids in documents_
   std::uint64_t last_doc_number_ = 0;
   std::string path_;
-  std::vector<std::string> other_files_;                      // files owned by other running processes
+  std::vector<std::string> other_files_;  // files owned by other running processes
+  Adopted recovered_;
   std::vector<std::pair<std::string, int>> recovered_files_;  // deleted by the next compaction
   // Wall clock minus monotonic clock, and the boot that this holds for. Times of transmissions are by this
   // wall clock. 0: not known.
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -102,6 +102,44 @@
   }
 }
 
+// Guards against a second effect: a kill during an adoption leaves a document in two journals, and the next
+// process sent both.
+TEST_F(StoreOfReplacedProcess, DocumentInTwoJournalsIsOneDocument) {
+  for (bool earlier_is_read_first : {true, false}) {
+    SetUp();
+    auto first = open(), second = open();
+    Store& earlier = earlier_is_read_first ? *first : *second;
+    Store& later = earlier_is_read_first ? *second : *first;
+    const DocId sent = earlier.add(document("d1"));
+    earlier.record_accepted(sent), earlier.record_transmission(sent, 0, 7, {});
+    later.record_accepted(later.add(document("d1")));
+    ASSERT_TRUE(earlier.flush() && later.flush());
+    first.reset(), second.reset();
+    auto store = open();
+    ASSERT_EQ(store->documents().size(), 1u) << earlier_is_read_first;
+    EXPECT_EQ(store->documents().begin()->second.transmissions, 1) << "what may have run is forgotten";
+  }
+}
+
+// Guards against a second effect: a document that ran at the earlier process was handed in again at the later
+// one.
+TEST_F(StoreOfReplacedProcess, DocumentThatRanAtTheOtherProcessIsOver) {
+  for (bool earlier_is_read_first : {true, false}) {
+    SetUp();
+    auto first = open(), second = open();
+    Store& earlier = earlier_is_read_first ? *first : *second;
+    Store& later = earlier_is_read_first ? *second : *first;
+    const DocId ran = earlier.add(document("d1"));
+    earlier.record_accepted(ran), earlier.record_transmission(ran, 0, 7, {}), earlier.remove(ran);
+    later.record_accepted(later.add(document("d1")));
+    ASSERT_TRUE(earlier.flush() && later.flush());
+    first.reset(), second.reset();
+    auto store = open();
+    ASSERT_EQ(store->recovered().over.size(), 1u) << earlier_is_read_first;
+    EXPECT_EQ(store->recovered().over.front().second, DocumentFate::delivered);
+  }
+}
+
 // Guards against values that come back: within one journal the last one counts, and a removed name is gone.
 TEST_F(StoreOfReplacedProcess, LaterRecordsOfOneJournalReplaceEarlierOnes) {
   auto store = open();
