--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -207,7 +207,7 @@
   // configuration.
   if (taken_over_) reload_config();
   begin_turn();
-  for (const auto& endpoint : store_.offline_endpoints())
+  for (const std::string& endpoint : store_.offline_endpoints())
     decision_->set_offline(EndpointId(fnv1a_hash(endpoint)), true);
   if (!taken_over_) apply_endpoint_list(config_.known_endpoints);
   if (fleet_) fleet_->start();
@@ -353,6 +353,11 @@
     if (fleet_) fleet_->on_previous_process_ended();
     if (route_state_store_) route_state_store_->restore();
   }
+  for (const auto& [endpoint, offline] : adopted.offline_orders) {
+    decision_->set_offline(EndpointId(fnv1a_hash(endpoint)), offline);
+    log_line("endpoint %.60s is %s by staff, at the previous process", endpoint.c_str(),
+             offline ? "taken offline" : "put online");
+  }
   for (DocId doc : adopted.found) resume_document(doc);
   // Handed in again here while the other process had it: nothing was sent from here yet.
   for (DocId doc : adopted.merged) {
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -148,6 +148,12 @@
   return payload;
 }
 
+std::string encode_offline_order(std::string_view endpoint, std::uint64_t number) {
+  std::string payload = encode_string(endpoint);
+  append_number(payload, number);
+  return payload;
+}
+
 std::string encode_metadata(std::string_view name, std::string_view text) {
   std::string payload;
   append_string(payload, name), append_string(payload, text);
@@ -315,10 +321,15 @@
   if (path_.empty())
     throw std::runtime_error("all files in the folder " + folder_ + " are locked by other processes");
   // An endpoint taken offline is offline for this process too, whichever process owns the file that says so.
-  for (const auto& path : other_files_)
+  for (const auto& path : other_files_) {
+    const auto known = std::exchange(offline_orders_, {});
     for_each_record(read_file(path), [this](char kind, std::uint64_t, std::string_view payload) {
       if (kind == offline_kind || kind == online_kind) apply(kind, DocId{}, payload);
     });
+    combine_offline_orders(known);
+  }
+  // No other journal has an older order that these would have to outlast.
+  if (other_files_.empty()) std::erase_if(offline_orders_, [](const auto& at) { return !at.second.offline; });
 }
 
 void Store::recover_file(const std::string& path, int fd, Adopted& adopted) {
@@ -329,8 +340,11 @@
   // Within a journal a later value replaces an earlier one; between journals neither does.
   const auto known = metadata_;
   for (const auto& [name, text] : known) assign_metadata(name, {});
+  const auto known_orders = std::exchange(offline_orders_, {});
   replay(read_file(path), last_doc_number_);
   combine_metadata(known);
+  for (const auto& [endpoint, order] : combine_offline_orders(known_orders))
+    adopted.offline_orders[endpoint] = order.offline;
   has_recovered_file_ = true;
   record_clock();
   recovered_files_.emplace_back(path, fd);
@@ -340,7 +354,6 @@
 
 Store::Adopted Store::adopt_orphaned_files() {
   Adopted adopted;
-  auto offline = offline_endpoints_;
   std::vector<std::string> still_owned;
   for (const auto& path : std::exchange(other_files_, {})) {
     int fd = open_locked(path);
@@ -348,8 +361,6 @@
     else if (fd >= 0) adopted.any_file = true, recover_file(path, fd, adopted);
   }
   other_files_ = std::move(still_owned);
-  // Read at the start already; changes since then are known to this process only.
-  offline_endpoints_ = std::move(offline);
   if (!recovered_files_.empty()) rewrite_needed_ = true;  // this process's own file doesn't have them yet
   return adopted;
 }
@@ -499,19 +510,47 @@
   if (notify && kind != removed_kind) on_record(kind, doc, transmission);
 }
 
+std::set<std::string> Store::offline_endpoints() const {
+  std::set<std::string> endpoints;
+  for (const auto& [endpoint, order] : offline_orders_)
+    if (order.offline) endpoints.insert(endpoint);
+  return endpoints;
+}
+
 bool Store::set_offline(const std::string& endpoint, bool offline) {
-  auto payload = encode_string(endpoint);
-  if ((offline_endpoints_.count(endpoint) > 0) == offline) return flush();
-  pending_ += make_record(offline ? offline_kind : online_kind, DocId{}, payload);
-  apply(offline ? offline_kind : online_kind, DocId{}, payload);
+  const auto before = offline_orders_;
+  if (auto known = before.find(endpoint); (known != before.end() && known->second.offline) == offline)
+    return flush();
+  std::uint64_t highest = 0;
+  for (const auto& [other, order] : before) highest = std::max(highest, order.number);
+  record_offline_order(endpoint, {highest + 1, offline});
   if (flush()) return true;
   // The change is undone if it could not be written, because a restart would not find it. The file may have a
   // part of the record, so it is rewritten from memory before anything else is appended.
-  apply(offline ? online_kind : offline_kind, DocId{}, payload);
+  offline_orders_ = before;
   rewrite_needed_ = true;
   return false;
 }
 
+void Store::record_offline_order(const std::string& endpoint, const OfflineOrder& order) {
+  const char kind = order.offline ? offline_kind : online_kind;
+  const auto payload = encode_offline_order(endpoint, order.number);
+  pending_ += make_record(kind, DocId{}, payload);
+  apply(kind, DocId{}, payload);
+}
+
+// An order to take offline counts more than one of the same number to put online: calls that are held back
+// harm less than calls to an endpoint under maintenance.
+Store::OfflineOrders Store::combine_offline_orders(const OfflineOrders& earlier) {
+  auto changed = std::exchange(offline_orders_, earlier);
+  std::erase_if(changed, [&](const auto& at) {
+    const auto known = earlier.find(at.first);
+    return known != earlier.end() && at.second <= known->second;
+  });
+  for (const auto& [endpoint, order] : changed) offline_orders_[endpoint] = order;
+  return changed;
+}
+
 void Store::set_metadata(const std::string& name, const std::string& text) {
   auto payload = encode_metadata(name, text);
   pending_ += make_record(metadata_kind, DocId{}, payload);
@@ -580,8 +619,9 @@
   }
   for (const auto& [name, text] : metadata_)
     bytes += make_record(metadata_kind, DocId{}, encode_metadata(name, text));
-  for (const auto& endpoint : offline_endpoints_)
-    bytes += make_record(offline_kind, DocId{}, encode_string(endpoint));
+  for (const auto& [endpoint, order] : offline_orders_)
+    bytes += make_record(order.offline ? offline_kind : online_kind, DocId{},
+                         encode_offline_order(endpoint, order.number));
   return bytes;
 }
 
@@ -658,8 +698,10 @@
 void Store::apply(char kind, DocId doc, std::string_view payload) {
   RecordReader reader(payload);
   if (kind == offline_kind || kind == online_kind) {
-    if (kind == offline_kind) offline_endpoints_.insert(reader.text());
-    else offline_endpoints_.erase(reader.text());
+    const std::string endpoint = reader.text();
+    // Older versions wrote no number.
+    const auto number = reader.remaining().empty() ? 0 : reader.number<std::uint64_t>();
+    offline_orders_[endpoint] = {number, kind == offline_kind};
     return;
   }
   if (kind == metadata_kind) {
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -80,6 +80,7 @@
   // A document that was accepted here while the other process still had it keeps what is known of it there.
   struct Adopted {
     bool any_file = false;
+    std::map<std::string, bool> offline_orders;  // by endpoint: orders that the other process had last
     std::vector<DocId> found, merged;
     std::vector<std::pair<DocId, DocumentFate>> over;  // accepted here, and already ended there
   };
@@ -106,7 +107,7 @@
   // Endpoints that staff have taken offline, by their names in the list. False: it could not be written, and
   // nothing has changed.
   bool set_offline(const std::string& endpoint, bool offline);
-  const std::set<std::string>& offline_endpoints() const { return offline_endpoints_; }
+  std::set<std::string> offline_endpoints() const;
   // Named values kept across restarts for the fleet and the route state. An empty value removes the name. A
   // value that another process has written is combined with this process's own by MergeMetadata.
   void set_metadata(const std::string& name, const std::string& text);
@@ -127,6 +128,17 @@
 
  private:
   void record_clock();
+  // An order of staff, numbered above all that were known when it was given (a Lamport clock), so that of two
+  // processes' orders on one endpoint the later one counts, whichever journal is read last.
+  struct OfflineOrder {
+    std::uint64_t number = 0;
+    bool offline = false;
+    auto operator<=>(const OfflineOrder&) const = default;
+  };
+  using OfflineOrders = std::map<std::string, OfflineOrder>;
+  void record_offline_order(const std::string& endpoint, const OfflineOrder& order);
+  // Returns the orders that were changed by this.
+  OfflineOrders combine_offline_orders(const OfflineOrders& earlier);
   void assign_metadata(const std::string& name, const std::string& text);
   void combine_metadata(const std::map<std::string, std::string>& found);
   void find_files();
@@ -163,7 +175,7 @@
   std::uint64_t boot_id_ = 0;
   bool clock_recorded_ = false;  // the file has a clock record with these values
   EndedDocuments ended_;
-  std::set<std::string> offline_endpoints_;
+  OfflineOrders offline_orders_;
   std::map<std::string, std::string> metadata_;
   std::size_t metadata_bytes_ = 0;
   std::string pending_;
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -140,6 +140,43 @@
   }
 }
 
+// Guards against calls to an endpoint under maintenance: the order was given to the earlier process while the
+// later one had started, and forgotten with it.
+TEST_F(StoreOfReplacedProcess, OrderGivenToTheEarlierProcessIsKept) {
+  auto earlier = open();
+  ASSERT_TRUE(earlier->set_offline("e1", true));
+  auto later = open();
+  EXPECT_EQ(later->offline_endpoints(), std::set<std::string>{"e1"});
+  ASSERT_TRUE(earlier->set_offline("e2", true));
+  ASSERT_TRUE(later->set_offline("e1", false));
+  earlier.reset();
+  EXPECT_EQ(later->adopt_orphaned_files().offline_orders, (std::map<std::string, bool>{{"e2", true}}));
+  EXPECT_EQ(later->offline_endpoints(), std::set<std::string>{"e2"});
+  ASSERT_TRUE(later->flush());
+  later.reset();
+  EXPECT_EQ(open()->offline_endpoints(), std::set<std::string>{"e2"});
+}
+
+// Guards against an endpoint that staff put online and that is offline again after a kill: the journal of the
+// earlier process was read last.
+TEST_F(StoreOfReplacedProcess, LaterOrderCountsAfterAKillInEitherOrderOfTheJournals) {
+  for (bool earlier_is_read_first : {true, false}) {
+    SetUp();
+    std::unique_ptr<Store> first_file = earlier_is_read_first ? nullptr : open();
+    auto earlier = open();
+    ASSERT_TRUE(earlier->set_offline("e1", true));
+    if (first_file) {
+      first_file.reset();
+      earlier->adopt_orphaned_files();
+      ASSERT_TRUE(earlier->flush());
+    }
+    auto later = open();
+    ASSERT_TRUE(later->set_offline("e1", false));
+    later.reset(), earlier.reset();
+    EXPECT_TRUE(open()->offline_endpoints().empty()) << earlier_is_read_first;
+  }
+}
+
 // Guards against values that come back: within one journal the last one counts, and a removed name is gone.
 TEST_F(StoreOfReplacedProcess, LaterRecordsOfOneJournalReplaceEarlierOnes) {
   auto store = open();
