Merge the file of shared state with what the replaced process wrote there

Callers would see: a document that goes before the end of a wait, in a fleet whose other members don't know of it, after a replacement.

Cause: the file was read once, at the start, and written whole by both processes. What the earlier one heard in its last seconds was not read, and each write removed what only the other process knew.

Change: the file is read again when the earlier process has ended and written at once, and read before each write while that one is running. The registers merge what is read. Left: a write by both within the same moment.

Measured: on the code before, SharedStateReplacementTest.WaitOfTheEarlierProcessIsHeeded and .NeitherProcessLosesWhatTheOtherWrote failed; both pass.

--- a/src/peer/shared_state.cpp
+++ b/src/peer/shared_state.cpp
@@ -42,13 +42,18 @@
   void start() override {
     begin_turn();
     update_alive_members();
-    std::string error_text;
-    auto restored = file_.read(read_clocks(), error_text);
-    if (!error_text.empty()) log_line("share: %s", error_text.c_str());
-    if (restored) restore(*restored);
+    read_file();
     turn();
   }
 
+  // The file is the earlier process's last word, or lacks what this process wrote before that.
+  void on_previous_process_ended() override {
+    begin_turn();
+    read_file();
+    turn();
+    write_file();
+  }
+
   void on_message(MemberId from, std::string_view payload) override {
     auto message = unpacked<fleet::RegisterMessage>(payload);
     begin_turn();
@@ -113,6 +118,12 @@
   }
   void update_alive_members() { registers_->set_alive(context_.membership.alive()); }
 
+  void read_file() {
+    std::string error_text;
+    auto restored = file_.read(read_clocks(), error_text);
+    if (!error_text.empty()) log_line("share: %s", error_text.c_str());
+    if (restored) restore(*restored);
+  }
   void restore(const StateFile::LoadedState& restored) {
     try {
       registers_->restore(restored.records, restored.elapsed);
@@ -204,6 +215,8 @@
     begin_turn();
     write_timer_.clear(), write_scheduled_ = false;
     last_write_ = relay_.loop.now();
+    // The file also belongs to an earlier process that is still running.
+    if (!relay_.store.is_sole_process()) read_file();
     std::string error_text;
     bool written = file_.write(registers_->records_to_persist(max_state_records), read_clocks(), error_text);
     if (!written && !std::exchange(write_failing_, true)) log_line("share: %s", error_text.c_str());
--- a/tests/fleet/shared_state_test.cpp
+++ b/tests/fleet/shared_state_test.cpp
@@ -11,6 +11,7 @@
 #include "fleet/registers.h"
 #include "peer/codec.h"
 #include "peer/fleet.h"
+#include "peer/state_file.h"
 
 namespace rockcrank::peer {
 namespace {
@@ -74,5 +75,55 @@
   expect_wait_to_end_in_time();
 }
 
+// A process that has just started, while an earlier one of the same directory is still running.
+class SharedStateReplacementTest : public SharedStateTest {
+ protected:
+  SharedStateReplacementTest() {
+    earlier_store_ = std::move(store_);
+    store_ = std::make_unique<Store>(folder_, 1 << 20);
+    shared_state_ = make_shared_state(context());
+    shared_state_->start();
+  }
+  // The earlier process was told to wait, and writes the state file.
+  void write_wait_in_earlier_process() {
+    fleet::RegisterRecord record;
+    record.kind = fleet::RegisterKind::retry_after, record.name = "d0000000000000009";
+    record.duration = told_wait, record.version = {1, member_id("b")}, record.incarnation = {1, 1};
+    std::string error_text;
+    ASSERT_TRUE(file().write({record}, read_clocks(), error_text)) << error_text;
+  }
+  StateFile file() const { return {folder_ + "/state", config_.fleet_name, config_.self}; }
+
+  std::unique_ptr<Store> earlier_store_;
+};
+
+// Guards against a told wait that is broken: the earlier process heard it after the later one had read the
+// file.
+TEST_F(SharedStateReplacementTest, WaitOfTheEarlierProcessIsHeeded) {
+  write_wait_in_earlier_process();
+  EXPECT_TRUE(decision_.applied_statuses.empty());
+  shared_state_->on_previous_process_ended();
+  ASSERT_EQ(decision_.applied_statuses.size(), 1u);
+  EXPECT_GT(decision_.applied_statuses[0].retry_after_left, told_wait - 1000);
+}
+
+// Guards against a told wait that is forgotten: each of the two replaced the file that the other one had
+// written.
+TEST_F(SharedStateReplacementTest, NeitherProcessLosesWhatTheOtherWrote) {
+  receive_wait();
+  run_for(5);
+  write_wait_in_earlier_process();
+  shared_state_->leave();
+  std::string error_text;
+  auto stored = file().read(read_clocks(), error_text);
+  ASSERT_TRUE(stored) << error_text;
+  EXPECT_EQ(stored->records.size(), 2u) << "the later process replaced the file";
+  write_wait_in_earlier_process();
+  shared_state_->on_previous_process_ended();
+  stored = file().read(read_clocks(), error_text);
+  ASSERT_TRUE(stored) << error_text;
+  EXPECT_EQ(stored->records.size(), 2u) << "the earlier process replaced the file";
+}
+
 }  // namespace
 }  // namespace rockcrank::peer
