--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -22,175 +22,23 @@
 #include "relay/files.h"
 #include "relay/log.h"
 #include "relay/loop.h"
+#include "relay/store_records.h"
 #include "settings/settings.h"
 
 namespace rockcrank {
 
-// Reads the fields of a record in order; throws ParseError where they end early.
-class RecordReader {
- public:
-  explicit RecordReader(std::string_view bytes) : remaining_(bytes) {}
-  template <typename Number>
-  Number number() {
-    Number value;
-    if (remaining_.size() < sizeof value) throw ParseError("truncated record");
-    std::memcpy(&value, remaining_.data(), sizeof value);
-    remaining_.remove_prefix(sizeof value);
-    return value;
-  }
-  std::string text() {
-    auto size = number<std::uint32_t>();
-    if (remaining_.size() < size) throw ParseError("truncated record");
-    std::string value(remaining_.substr(0, size));
-    remaining_.remove_prefix(size);
-    return value;
-  }
-  StoredDocument::Transmission transmission() {
-    auto sent_number = number<std::int32_t>();
-    auto sent_at = number<double>();
-    return {sent_number, sent_at, ZoneId(number<std::uint32_t>())};
-  }
-  DocType type() {
-    DocType type;
-    for (double* number : {&type.target_latency, &type.lifetime, &type.late_value, &type.idempotency_window})
-      *number = this->number<double>();
-    type.retry_safety = RetrySafety(number<char>()),
-    type.idempotency_scope = IdempotencyScope(number<char>());
-    type.in_order = number<char>() != 0;
-    return type;
-  }
-  std::string_view remaining() const { return remaining_; }
-
- private:
-  std::string_view remaining_;
-};
-
 namespace {
 
-// A record: length and checksum, then kind, document number and payload.
-constexpr std::size_t record_header_bytes = 8;
 // Reserved in advance for the header and the later records of a document.
 constexpr std::size_t record_overhead_bytes = 256;
 constexpr std::size_t block_slack_bytes = 4096;  // files occupy whole blocks
 
-// Record kinds, as stored.
-constexpr char document_kind = 'D';
-constexpr char untyped_document_kind = 'T';  // written by version 0.2.0, without the document type
-constexpr char transmission_kind = 'S';
-constexpr char never_ran_kind = 'N';
-constexpr char ended_kind = 'E';
-constexpr char removed_kind = 'F';
-constexpr char may_be_over_kind = 'M';
-constexpr char fleet_id_kind = 'C';
-constexpr char offline_kind = 'O';
-constexpr char online_kind = 'B';
-constexpr char metadata_kind = 'G';
-constexpr char clock_kind = 'K';
-constexpr char last_number_kind = 'L';
-constexpr char remembered_end_kind = 'H';
-
-template <typename Number>
-void append_number(std::string& to, Number number) {
-  char bytes[sizeof number];
-  std::memcpy(bytes, &number, sizeof number);
-  to.append(bytes, sizeof number);
-}
-
-void append_string(std::string& to, std::string_view text) {
-  append_number(to, static_cast<std::uint32_t>(text.size()));
-  to.append(text);
-}
-
-void append_transmission(std::string& to, const StoredDocument::Transmission& transmission) {
-  append_number(to, static_cast<std::int32_t>(transmission.number));
-  append_number(to, transmission.sent_at);
-  append_number(to, static_cast<std::uint32_t>(transmission.zone));
-}
-
-void append_type(std::string& to, const DocType& type) {
-  for (double number : {type.target_latency, type.lifetime, type.late_value, type.idempotency_window})
-    append_number(to, number);
-  append_number(to, static_cast<char>(type.retry_safety)),
-      append_number(to, static_cast<char>(type.idempotency_scope));
-  append_number(to, static_cast<char>(type.in_order));
-}
-
-void append_end(std::string& to, bool rejected, Millis wait) {
-  append_number(to, static_cast<char>(rejected));
-  append_number(to, wait);
-}
-
-// The string fields of a document, in the order of its record.
-constexpr std::string StoredDocument::*string_fields[] = {
-    &StoredDocument::id,        &StoredDocument::idempotency_key, &StoredDocument::body,
-    &StoredDocument::order_key, &StoredDocument::doc_type,        &StoredDocument::tenant};
-
-// with_type: false for records of version 0.2.0, which have no type.
-StoredDocument read_document(RecordReader& reader, bool with_type) {
-  StoredDocument document;
-  for (auto text : string_fields) document.*text = reader.text();
-  document.destination = DestinationId(reader.number<std::uint64_t>());
-  document.expiry = reader.number<double>();
-  document.transmissions = reader.number<std::int32_t>();
-  for (auto count = reader.number<std::uint32_t>(); count > 0; --count)
-    document.in_doubt.push_back(reader.transmission());
-  document.ended = reader.number<char>() != 0;
-  if (with_type) document.type = reader.type(), document.max_transmissions = reader.number<std::int32_t>();
-  document.rejected = reader.number<char>() != 0;
-  document.reject_retry_after = reader.number<double>();
-  if (!reader.remaining().empty()) document.may_be_over = reader.number<char>() != 0;
-  return document;
-}
-
-std::string encode_string(std::string_view text) {
-  std::string payload;
-  append_string(payload, text);
-  return payload;
-}
-
-std::string encode_offline_order(std::string_view endpoint, std::uint64_t number) {
-  std::string payload = encode_string(endpoint);
-  append_number(payload, number);
-  return payload;
-}
-
-std::string encode_metadata(std::string_view name, std::string_view text) {
-  std::string payload;
-  append_string(payload, name), append_string(payload, text);
-  return payload;
-}
-
-std::string encode_remembered_end(std::string_view id, const EndedDocument& ended) {
-  std::string payload;
-  append_string(payload, id), append_number(payload, static_cast<char>(ended.fate));
-  append_number(payload, ended.expiry);
-  return payload;
-}
-
 std::uint64_t read_boot_id() {
   std::ifstream file("/proc/sys/kernel/random/boot_id");
   std::string id;
   return std::getline(file, id) ? fnv1a_hash(id) : 0;
 }
 
-std::string encode_clock(Millis wall_offset, std::uint64_t boot) {
-  std::string payload;
-  append_number(payload, wall_offset), append_number(payload, boot);
-  return payload;
-}
-
-std::uint32_t checksum(std::string_view bytes) { return static_cast<std::uint32_t>(fnv1a_hash(bytes) >> 7); }
-
-std::string make_record(char kind, DocId doc, std::string_view payload) {
-  std::string content(1, kind);
-  append_number(content, static_cast<std::uint64_t>(doc));
-  content.append(payload);
-  std::string record;
-  append_number(record, static_cast<std::uint32_t>(content.size()));
-  append_number(record, checksum(content));
-  return record + content;
-}
-
 constexpr int max_files = 16;
 constexpr int locked_by_other = -1, missing = -2;  // returned in place of a descriptor
 
@@ -222,29 +70,6 @@
   }
 }
 
-// Visits each intact record and returns the number of bytes read.
-template <typename Visitor>
-std::size_t for_each_record(std::string_view bytes, Visitor visit) {
-  std::size_t offset = 0;
-  while (offset + record_header_bytes <= bytes.size()) {
-    std::uint32_t size = 0, sum = 0;
-    std::memcpy(&size, bytes.data() + offset, sizeof size);
-    std::memcpy(&sum, bytes.data() + offset + sizeof size, sizeof sum);
-    // A kill may have cut the last record short. Such a record was never acknowledged, so it is skipped.
-    if (size > bytes.size() - offset - record_header_bytes) break;
-    auto content = bytes.substr(offset + record_header_bytes, size);
-    if (checksum(content) != sum) break;
-    offset += record_header_bytes + size;
-    try {
-      RecordReader reader(content);
-      char kind = reader.number<char>();
-      auto number = reader.number<std::uint64_t>();
-      visit(kind, number, reader.remaining());
-    } catch (const ParseError& fault) { log_line("store: %s", fault.what()); }
-  }
-  return offset;
-}
-
 }  // namespace
 
 std::uint64_t Store::boot_id() {
@@ -422,27 +247,6 @@
   ended_.remember(document.id, {fate, document.expiry});
 }
 
-std::string Store::encode(const StoredDocument& document) {
-  std::string payload;
-  for (auto text : string_fields) append_string(payload, document.*text);
-  append_number(payload, static_cast<std::uint64_t>(document.destination));
-  append_number(payload, document.expiry);
-  append_number(payload, static_cast<std::int32_t>(document.transmissions));
-  append_number(payload, static_cast<std::uint32_t>(document.in_doubt.size()));
-  for (const auto& transmission : document.in_doubt) append_transmission(payload, transmission);
-  append_number(payload, static_cast<char>(document.ended));
-  append_type(payload, document.type);
-  append_number(payload, static_cast<std::int32_t>(document.max_transmissions));
-  append_end(payload, document.rejected, document.reject_retry_after);
-  if (document.may_be_over) append_number(payload, static_cast<char>(true));
-  return payload;
-}
-
-StoredDocument Store::decode(std::string_view record) {
-  RecordReader reader(record);
-  return read_document(reader, true);
-}
-
 // During compaction the old file exists beside the new one. So the file with the pending records plus all
 // live data must fit within the limit at any time, and the live data must fit twice.
 bool Store::has_room(std::size_t bytes) {
