--- a/src/peer/custody.cpp
+++ b/src/peer/custody.cpp
@@ -75,13 +75,17 @@
 
   void start() override {
     begin_turn();
-    restore_metadata();
+    const auto incarnations = restore_metadata();
+    store_.set_metadata(incarnations_key,
+                        packed(fleet::merge_incarnations(incarnations, {context_.incarnation})));
+    store_.flush();
     last_recovered_number_ = store_.last_doc_number();
     for (const auto& [doc, document] : store_.documents()) register_document(doc);
     schedule_turn();
   }
 
-  // The journal of the previous process has what it voted and granted until its end, and its documents.
+  // The journal of the previous process has what it voted and granted until its end, and its documents. It
+  // stays until the turn's flush, when what became of these documents is recorded, too.
   void on_previous_process_ended() override {
     begin_turn();
     restore_metadata();
@@ -167,7 +171,8 @@
   }
 
  private:
-  void restore_metadata() {
+  // Returns the earlier incarnations.
+  std::vector<Incarnation> restore_metadata() {
     std::vector<Incarnation> incarnations;
     std::size_t groups = 0;
     for (const auto& [name, text] : store_.metadata()) try {
@@ -179,9 +184,7 @@
     for (const auto& incarnation : incarnations) custody_->add_past_incarnation(incarnation);
     log_line("documents: the state directory knows %zu earlier incarnations and %zu groups",
              incarnations.size(), groups);
-    store_.set_metadata(incarnations_key,
-                        packed(fleet::merge_incarnations(incarnations, {context_.incarnation})));
-    store_.flush();
+    return incarnations;
   }
 
   // Uses the current time, not the loop's, so that a process that was stopped notices that its lease has
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -213,11 +213,6 @@
   if (fleet_) fleet_->start();
   if (route_state_store_ && !taken_over_) route_state_store_->restore();
   if (store_.has_recovered_file()) decision_->previous_process_ended();
-  // Ended by one of two earlier processes, accepted by the other one, and not sent again.
-  for (const auto& [doc, fate] : store_.recovered().over) {
-    if (fate == DocumentFate::undeliverable) store_.record_ended(doc, false, 0);
-    else store_.remove(doc);
-  }
   std::vector<DocId> all;
   for (const auto& [doc, stored] : store_.documents())
     if (!taken_over_ || stored.ended) all.push_back(doc);
--- a/src/relay/store.cpp
+++ b/src/relay/store.cpp
@@ -87,7 +87,8 @@
       merge_metadata_(std::move(merge_metadata)),
       ended_(max_bytes) {
   std::filesystem::create_directories(folder_);
-  find_files();
+  // Before the compaction, which makes one journal of all: a process that is killed later finds them ended.
+  for (const auto& [doc, fate] : find_files().over) end_elsewhere(doc, fate);
   record_clock();
   if (compact()) return;
   // These errors may pass: the recovered documents are delivered all the same, and the file is rewritten as
@@ -134,13 +135,14 @@
 
 // Finds journals by their names. One that a running process owns stays with it, any other is recovered. The
 // first name that is not owned by another process becomes this process's own.
-void Store::find_files() {
+Store::Adopted Store::find_files() {
+  Adopted recovered;
   for (int n = 1; n <= max_files; ++n) {
     auto path = file_name(folder_, n);
     if (path == path_) continue;
     int fd = open_locked(path);
     if (fd == locked_by_other) other_files_.push_back(path);
-    else if (fd >= 0) recover_file(path, fd, recovered_);
+    else if (fd >= 0) recover_file(path, fd, recovered);
     if (fd != locked_by_other && path_.empty()) path_ = path;
   }
   if (path_.empty())
@@ -155,6 +157,7 @@
   }
   // No other journal has an older order that these would have to outlast.
   if (other_files_.empty()) std::erase_if(offline_orders_, [](const auto& at) { return !at.second.offline; });
+  return recovered;
 }
 
 void Store::recover_file(const std::string& path, int fd, Adopted& adopted) {
@@ -207,6 +210,20 @@
   }
 }
 
+// Gives a document that another journal remembers as ended the same end; a delivery needs no notice.
+void Store::end_elsewhere(DocId doc, DocumentFate fate) {
+  StoredDocument& document = documents_.at(doc);
+  if (fate == DocumentFate::undeliverable) {
+    document.ended = true;
+    document.body.clear();
+    return;
+  }
+  live_bytes_ -= document.record_bytes;
+  if (auto known = by_id_.find(document.id); known != by_id_.end() && known->second == doc)
+    by_id_.erase(known);
+  documents_.erase(doc);
+}
+
 // A document of one journal whose end another one remembers. ended_before: what the journals before the last
 // one remember.
 void Store::find_ended_elsewhere(std::uint64_t first_found, const std::set<std::string>& ended_before,
--- a/src/relay/store.h
+++ b/src/relay/store.h
@@ -85,8 +85,6 @@
     std::vector<std::pair<DocId, DocumentFate>> over;  // accepted here, and already ended there
   };
   Adopted adopt_orphaned_files();
-  // What the journals read at the start held of documents that are in more than one of them.
-  const Adopted& recovered() const { return recovered_; }
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
@@ -141,7 +139,8 @@
   OfflineOrders combine_offline_orders(const OfflineOrders& earlier);
   void assign_metadata(const std::string& name, const std::string& text);
   void combine_metadata(const std::map<std::string, std::string>& found);
-  void find_files();
+  Adopted find_files();
+  void end_elsewhere(DocId doc, DocumentFate fate);
   void recover_file(const std::string& path, int fd, Adopted& adopted);
   void replay(std::string_view bytes, std::uint64_t base);  // base: added to the numbers of its documents
   std::string snapshot() const;
@@ -166,8 +165,7 @@
   std::unordered_map<std::string_view, DocId> by_id_;  // views of the ids in documents_
   std::uint64_t last_doc_number_ = 0;
   std::string path_;
-  std::vector<std::string> other_files_;  // files owned by other running processes
-  Adopted recovered_;
+  std::vector<std::string> other_files_;                      // files owned by other running processes
   std::vector<std::pair<std::string, int>> recovered_files_;  // deleted by the next compaction
   // Wall clock minus monotonic clock, and the boot that this holds for. Times of transmissions are by this
   // wall clock. 0: not known.
--- a/tests/fleet/custody_store_test.cpp
+++ b/tests/fleet/custody_store_test.cpp
@@ -121,22 +121,31 @@
   }
 }
 
-// Guards against a second effect: a document that ran at the earlier process was handed in again at the later
-// one.
-TEST_F(StoreOfReplacedProcess, DocumentThatRanAtTheOtherProcessIsOver) {
+// Guards against a second effect: a document that ended at the earlier process was handed in again at the
+// later one. It has that end for any process that starts from now on.
+TEST_F(StoreOfReplacedProcess, DocumentThatEndedAtTheOtherProcessIsOver) {
   for (bool earlier_is_read_first : {true, false}) {
     SetUp();
     auto first = open(), second = open();
     Store& earlier = earlier_is_read_first ? *first : *second;
     Store& later = earlier_is_read_first ? *second : *first;
-    const DocId ran = earlier.add(document("d1"));
-    earlier.record_accepted(ran), earlier.record_transmission(ran, 0, 7, {}), earlier.remove(ran);
-    later.record_accepted(later.add(document("d1")));
+    for (const char* id : {"delivered", "abandoned"}) {
+      const DocId ran = earlier.add(document(id));
+      earlier.record_accepted(ran), earlier.record_transmission(ran, 0, 7, {});
+      if (std::string(id) == "abandoned") earlier.record_ended(ran, false, 0);
+      earlier.remove(ran);
+      later.record_accepted(later.add(document(id)));
+    }
     ASSERT_TRUE(earlier.flush() && later.flush());
     first.reset(), second.reset();
-    auto store = open();
-    ASSERT_EQ(store->recovered().over.size(), 1u) << earlier_is_read_first;
-    EXPECT_EQ(store->recovered().over.front().second, DocumentFate::delivered);
+    for (int start = 0; start < 2; ++start) {
+      auto store = open();
+      ASSERT_EQ(store->documents().size(), 1u) << earlier_is_read_first;
+      EXPECT_EQ(store->documents().begin()->second.id, "abandoned");
+      EXPECT_TRUE(store->documents().begin()->second.ended);
+      EXPECT_FALSE(store->contains("delivered"));
+      EXPECT_EQ(store->fate_of("delivered"), DocumentFate::delivered);
+    }
   }
 }
 
