Tell at a handover and in the metrics of how many addresses it is known who is there

The log could not tell why: neither that the process which took over had lost which endpoint is at which address, nor that it had the list and passed over the entry.

Change: event=handover_state has addresses= of both sides, METRICS has addresses_known and addresses_taken.

--- a/src/decision/endpoint_addresses.h
+++ b/src/decision/endpoint_addresses.h
@@ -29,6 +29,7 @@
   // out have no address any more.
   std::vector<EndpointId> update(const std::vector<AddressClaim>& listed, bool full);
   void forget(EndpointId endpoint);
+  std::size_t size() const { return owners_.size(); }  // addresses whose endpoint is known
 
  private:
   struct Owner {
--- a/src/relay/handover_counts.h
+++ b/src/relay/handover_counts.h
@@ -16,6 +16,7 @@
   std::size_t unread_bytes = 0;         // received from clients and not parsed yet
   std::size_t clients = 0;
   std::size_t calls = 0;
+  std::size_t addresses = 0;  // of endpoints, for which it is known whose process is there
 
   // Each document is in the store, in its file and in the decision module or over, and each command read has
   // its reply. What is not so would be lost, or held for good.
@@ -36,6 +37,7 @@
     add("unread_bytes", unread_bytes);
     add("clients", clients);
     add("calls", calls);
+    add("addresses", addresses);
     return all;
   }
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -469,6 +469,7 @@
   counts.unread_bytes = clients_.unread_bytes();
   counts.clients = clients_.size();
   counts.calls = endpoints_.calls_in_flight();
+  counts.addresses = addresses_.size();
   return counts;
 }
 
@@ -533,6 +534,7 @@
     claims.push_back(std::move(claim));
   }
   const auto superseded = addresses_.update(claims, list.full);
+  addresses_taken_ += superseded.size();
   for (EndpointId endpoint : superseded)
     log_line("event=address_taken endpoint=%llx", static_cast<unsigned long long>(endpoint));
   return superseded;
@@ -1006,6 +1008,8 @@
     auto reason = static_cast<EndpointCloseReason>(i);
     add((std::string("connections_closed_") + name_of(reason)).c_str(), endpoints_.closed_count(reason));
   }
+  add("addresses_known", addresses_.size());
+  add("addresses_taken", addresses_taken_);
   add("views_refreshed", views_refreshed_);
   add("late_rounds", late_rounds_);
   add("latest_round_ms", static_cast<std::uint64_t>(latest_round_));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -135,6 +135,7 @@
   std::optional<RouteStateStore> route_state_store_;
   std::map<EndpointId, EndpointEntry> known_endpoints_;
   EndpointAddresses addresses_;
+  std::uint64_t addresses_taken_ = 0;  // how often an update of the list had an endpoint at another's address
   std::vector<NewDocument> new_documents_;
   std::vector<Outcome> unsent_outcomes_;  // reported to the module in the next turn
   std::int64_t list_version_ = -1;
