Hand over which endpoint is at which address when the process is replaced

Cause: EndpointAddresses, which decides who is at an address, was not part of the handover. The successor hears only changes of the list, so the entry of the new endpoint found its address free and the old one stayed ready.

Change: its whole state goes over, with the order of listing, which decides where start times do not; the form of the handover is 4. This works as the successor then compares the entry with the same state as its predecessor would have; a property test replaces the process after each update of any sequence. The stand-in for the agent can answer with changes only: it always sent whole lists, with which the fault heals.

--- a/src/decision/endpoint_addresses.cpp
+++ b/src/decision/endpoint_addresses.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decision/state_archive.h"
+
 namespace rockcrank {
 
 std::vector<EndpointId> EndpointAddresses::update(const std::vector<AddressClaim>& listed, bool full) {
@@ -54,4 +56,14 @@
   std::erase_if(superseded_, [&](const auto& one) { return one.first == endpoint; });
 }
 
+std::string EndpointAddresses::export_state() {
+  state::StateArchive archive;
+  archive.put_fields(fields());
+  return archive.text();
+}
+
+void EndpointAddresses::import_state(const std::string& state) {
+  state::StateArchive(state).get_fields(fields());
+}
+
 }  // namespace rockcrank
--- a/src/decision/endpoint_addresses.h
+++ b/src/decision/endpoint_addresses.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -31,15 +32,21 @@
   void forget(EndpointId endpoint);
   std::size_t size() const { return owners_.size(); }  // addresses whose endpoint is known
 
+  // All of this, for the process that replaces this one. import_state() throws where it cannot be read.
+  std::string export_state();
+  void import_state(const std::string& state);
+
  private:
   struct Owner {
     EndpointId endpoint{};
     Millis started_at = 0;
     std::uint64_t listed_in = 0;  // the update in which it came to this address
+    auto fields() { return std::tie(endpoint, started_at, listed_in); }
   };
   bool takes_over(const AddressClaim& claim, const Owner& owner) const;
   void release_unlisted(const std::vector<AddressClaim>& listed);
   void release(EndpointId endpoint);
+  auto fields() { return std::tie(updates_, owners_, superseded_); }
 
   std::uint64_t updates_ = 0;
   std::map<std::string, Owner> owners_;
--- a/src/decision/state_archive.h
+++ b/src/decision/state_archive.h
@@ -67,7 +67,7 @@
   static Json to_json(Type&& item) {
     using Plain = std::remove_cvref_t<Type>;
     if constexpr (std::is_enum_v<Plain>) return static_cast<std::uint64_t>(item);
-    else if constexpr (std::is_arithmetic_v<Plain>) return item;
+    else if constexpr (std::is_arithmetic_v<Plain> || std::is_same_v<Plain, std::string>) return item;
     else if constexpr (HasFields<Plain>) return to_json(item.fields());
     else if constexpr (requires { item.has_value(); }) return item ? to_json(*item) : Json();
     else {
@@ -83,7 +83,8 @@
   template <typename Type>
   static void from_json(const Json& from, Type& item) {
     if constexpr (std::is_enum_v<Type>) item = Type(from.get<std::uint64_t>());
-    else if constexpr (std::is_arithmetic_v<Type>) item = from.get<Type>();
+    else if constexpr (std::is_arithmetic_v<Type> || std::is_same_v<Type, std::string>)
+      item = from.get<Type>();
     else if constexpr (HasFields<Type>) {
       auto parts = item.fields();
       from_json(from, parts);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -30,7 +30,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 3;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 4;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
@@ -412,6 +412,7 @@
   };
   auto store = store_.handover_state();
   Json all{{"form", handover_format}, {"version", list_version_}, {"decision", decision_->export_state()}};
+  all["addresses"] = addresses_.export_state();
   all["store"] = {
       store.path,       store.snapshot,      add_descriptor(store.descriptor), store.last_doc_number,
       store.file_bytes, store.rewrite_needed};
@@ -476,6 +477,7 @@
 void Relay::take_over(const Json& state, HandoverPayload& payload) {
   decision_->import_state(state.at("decision").get<std::string>());
   list_version_ = state.at("version").get<std::int64_t>();
+  addresses_.import_state(state.at("addresses").get<std::string>());
   auto list = [&](const char* name) { return state.value(name, Json::array()); };
   for (const auto& one : list("known")) {
     EndpointEntry entry;
--- a/tests/decision/endpoint_addresses_test.cpp
+++ b/tests/decision/endpoint_addresses_test.cpp
@@ -2,7 +2,9 @@
 #include "decision/endpoint_addresses.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <string>
 #include <vector>
 
 namespace rockcrank {
@@ -16,6 +18,35 @@
 
 using Ids = std::vector<EndpointId>;
 
+// As known by the process that takes over.
+EndpointAddresses replaced(EndpointAddresses& before) {
+  EndpointAddresses after;
+  after.import_state(before.export_state());
+  return after;
+}
+
+struct ListUpdate {
+  std::vector<AddressClaim> claims;
+  bool full = false;
+};
+
+// Few endpoints, addresses and times, so that they meet.
+rc::Gen<ListUpdate> drawn_update() {
+  return rc::gen::exec([] {
+    ListUpdate update;
+    const int claims = *rc::gen::inRange(0, 5);
+    for (int i = 0; i < claims; ++i)
+      update.claims.push_back(
+          {EndpointId(*rc::gen::inRange(1, 5)),
+           *rc::gen::element(EndpointStatus::ready, EndpointStatus::ready, EndpointStatus::draining,
+                             EndpointStatus::gone),
+           *rc::gen::element<std::string>("10.0.0.1:80", "10.0.0.1:80", "10.0.0.1:81", ""),
+           static_cast<Millis>(*rc::gen::inRange(0, 4))});
+    update.full = *rc::gen::inRange(0, 4) == 0;
+    return update;
+  });
+}
+
 // Calls went to another destination, whose process had come up at the address.
 TEST(EndpointAddresses, TheProcessThatStartedLaterIsThere) {
   EndpointAddresses addresses;
@@ -54,6 +85,31 @@
   EXPECT_EQ(addresses.update({ready(first, 3)}, true), Ids{});  // the second one is not listed any more
 }
 
+// A process that had taken over sent to another destination: it did not know who was at the address.
+TEST(EndpointAddresses, TheNextProcessKnowsWhoIsThere) {
+  for (const Millis started_at : {0.0, 5.0}) {
+    EndpointAddresses addresses;
+    EXPECT_EQ(addresses.update({ready(first, 0)}, true), Ids{});
+    addresses = replaced(addresses);
+    EXPECT_EQ(addresses.update({ready(second, started_at)}, false), Ids{first});
+    for (int replacements = 0; replacements < 2; ++replacements) addresses = replaced(addresses);
+    EXPECT_EQ(addresses.update({ready(first, 0)}, false), Ids{first});
+    EXPECT_EQ(addresses.update({ready(first, 0), ready(second, started_at)}, true), Ids{first});
+  }
+}
+
+// Any sequence of updates: a process that takes over after one of them answers as the one before would have.
+RC_GTEST_PROP(EndpointAddressesProperty, AReplacementChangesNothing, ()) {
+  EndpointAddresses one_process, replaced_after_each;
+  const int updates = *rc::gen::inRange(1, 12);
+  for (int i = 0; i < updates; ++i) {
+    const auto update = *drawn_update();
+    RC_ASSERT(one_process.update(update.claims, update.full) ==
+              replaced_after_each.update(update.claims, update.full));
+    replaced_after_each = replaced(replaced_after_each);
+  }
+}
+
 TEST(EndpointAddresses, OtherAddressesAreNotTouched) {
   EndpointAddresses addresses;
   EXPECT_EQ(addresses.update({ready(first, 0), ready(second, 5, "10.0.0.1:81")}, true), Ids{});
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -135,6 +135,8 @@
     std::string behavior = "200";
     Options options;
     Json list_entry;
+    std::int64_t listed_in = 0;               // the revision of the list in which it changed last
+    std::shared_ptr<ReservedPort> left_port;  // where it listened before it moved
   };
   struct Connection {  // accepted by an endpoint or the agent, or opened by a client
     std::string endpoint, input, output;
@@ -329,10 +331,17 @@
     for (const auto& [name, endpoint] : endpoints_) list["targets"].push_back(endpoint.list_entry);
     return list;
   }
+  Json changes_after(std::int64_t revision) const {
+    Json list{{"rev", revision_}, {"all", false}, {"targets", Json::array()}};
+    for (const auto& [name, endpoint] : endpoints_)
+      if (endpoint.listed_in > revision) list["targets"].push_back(endpoint.list_entry);
+    return list;
+  }
   void send_list(int fd) {
-    connections_.at(fd).watched_revision = -1;
+    const std::int64_t watched = std::exchange(connections_.at(fd).watched_revision, -1);
     auto fault = std::exchange(next_list_fault_, "");
-    auto body = faulty_list(fault).dump(1);
+    const bool only_changes = tells_changes_ && watched >= 0 && fault.empty();
+    auto body = (only_changes ? changes_after(watched) : faulty_list(fault)).dump(1);
     if (fault == "cut") body.resize(body.size() / 2);
     auto text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     auto sent = fault == "head"   ? text.size() - body.size()
@@ -472,6 +481,16 @@
     endpoint.listener = listen_on(endpoint.port());
   }
 
+  // The endpoint's process goes on at an address of its own; connections to the one before are reset.
+  void move_endpoint(Endpoint& endpoint, const std::string& name) {
+    if (endpoint.listener >= 0) ::close(std::exchange(endpoint.listener, -1));
+    for (auto connection = connections_.begin(); connection != connections_.end();) {
+      auto at = connection++;
+      if (at->second.endpoint == name && !at->second.client) close_connection(at->first, true);
+    }
+    endpoint.left_port = std::exchange(endpoint.reserved_port, std::make_shared<ReservedPort>());
+  }
+
   // Fills the listener's accept queue, so that no further connection is established.
   void fill_accept_queue(const Endpoint& endpoint) {
     listen(endpoint.listener, 0);
@@ -712,6 +731,9 @@
       if (shared) endpoint.reserved_port = other_->endpoints_.at(arguments[1]).reserved_port;
       bool down = arguments.size() > 2 && arguments[2] == "down";
       if (options.count("takes")) take_address(endpoint, options.at("takes"));
+      if (options.count("moves")) move_endpoint(endpoint, arguments[1]);
+      if (options.count("takes_left"))
+        endpoint.reserved_port = endpoints_.at(options.at("takes_left")).left_port;
       if (!endpoint.reserved_port) {
         endpoint.reserved_port = std::make_shared<ReservedPort>();
         endpoint.listener = listen_on(endpoint.port());
@@ -738,7 +760,7 @@
                                {"state", text_or(options, "state", "Ready")},
                                {"capacity_hint", 1.0},
                                {"boot_ms", std::int64_t(number_or(options, "boot", 0))}};
-        ++revision_;
+        endpoint.listed_in = ++revision_;
         for (auto& [fd, connection] : connections_)
           if (connection.agent && connection.watched_revision >= 0 && connection.watched_revision < revision_)
             send_list(fd);
@@ -748,6 +770,8 @@
       agent_ = listen_on(0);
       if (options.count("keep")) ignore_agent_connections();
       else close_agent_connections();
+    } else if (verb == "agent" && (arguments.at(1) == "changes" || arguments.at(1) == "whole")) {
+      tells_changes_ = arguments[1] == "changes";
     } else if (verb == "agent" && arguments.at(1) == "deafens") {
       ignore_agent_connections();
     } else if (verb == "agent" && arguments.at(1) == "hangs_up") {
@@ -1064,6 +1088,7 @@
   std::int64_t revision_ = 1;
   Json known_list_;  // the list as written into the last configuration
   bool agent_silent_ = false, agent_busy_ = false;
+  bool tells_changes_ = false;            // a watch is answered with what changed, else with the whole list
   bool agent_fails_next_report_ = false;  // after one was acknowledged; that answer is written once more
   std::size_t reports_acknowledged_ = 0;
   std::string next_list_fault_;          // fault of the next list, empty: none
