Let an endpoint leave its address when it is listed at another one

Callers would see: documents that are held until their time is over. Their endpoint had moved, and another one came up at its old address.

Cause: EndpointAddresses had one owner for each address and went through a list entry by entry. An endpoint listed elsewhere stayed owner of its old address, and was taken for gone with it; in one update the order of entries decided; of two endpoints that nothing tells apart only one was given up when a third one was there.

Change: an update is applied as a whole, then each claimed address is settled among all that are there. This works as every comparison has what the whole update says. The form of the handover is 5.

Measured: on the code before, address_left, three tests of EndpointAddresses and the property OneProcessIsAtAnAddress failed, 1 run each.

--- a/src/decision/endpoint_addresses.h
+++ b/src/decision/endpoint_addresses.h
@@ -30,26 +30,30 @@
   // out have no address any more.
   std::vector<EndpointId> update(const std::vector<AddressClaim>& listed, bool full);
   void forget(EndpointId endpoint);
-  std::size_t size() const { return owners_.size(); }  // addresses whose endpoint is known
+  std::size_t size() const { return occupants_.size(); }  // addresses whose endpoint is known
 
   // All of this, for the process that replaces this one. import_state() throws where it cannot be read.
   std::string export_state();
   void import_state(const std::string& state);
 
  private:
-  struct Owner {
-    EndpointId endpoint{};
+  struct Occupant {
     Millis started_at = 0;
     std::uint64_t listed_in = 0;  // the update in which it came to this address
-    auto fields() { return std::tie(endpoint, started_at, listed_in); }
+    auto fields() { return std::tie(started_at, listed_in); }
   };
-  bool takes_over(const AddressClaim& claim, const Owner& owner) const;
-  void release_unlisted(const std::vector<AddressClaim>& listed);
-  void release(EndpointId endpoint);
-  auto fields() { return std::tie(updates_, owners_, superseded_); }
+  // More than one only while nothing tells which of them is there.
+  using Occupants = std::map<EndpointId, Occupant>;
+  using ClaimsByEndpoint = std::map<EndpointId, const AddressClaim*>;
+
+  void remove_departed(const ClaimsByEndpoint& claims, bool full);
+  void add_occupant(const AddressClaim& claim);
+  std::vector<EndpointId> remove_superseded(const std::string& address);
+  bool is_superseded(EndpointId endpoint, const std::string& address) const;
+  auto fields() { return std::tie(updates_, occupants_, superseded_); }
 
   std::uint64_t updates_ = 0;
-  std::map<std::string, Owner> owners_;
+  std::map<std::string, Occupants> occupants_;
   std::set<std::pair<EndpointId, std::string>> superseded_;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -30,7 +30,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 4;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 5;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
