End calls that are not wholly written when their endpoint has another address

Callers would see: a document for one destination at the process of another, which came up at an address that the first one's endpoint had left.

Cause: set_address() closed idle connections only. A call that was connecting or waited was written later, as the decision module, asked right before, knows no addresses; a request of which a part was written went on.

Change: such calls end as not sent, and are chosen anew. give_up_address() is the same function with another result. An update of the list may now end the call that is about to be written; may_begin() looks for that.

--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -211,6 +211,8 @@
                           [&](const InFlightTransmission& item) { return owner_.is_finished(item.doc); }))
     return abort(TransmissionResult::not_sent), false;
   auto permission = owner_.may_write(transmissions_[0].doc, transmissions_[0].transmission);
+  // An update of the list that was read for it may have ended the call.
+  if (transmissions_.empty()) return false;
   deferred_ = permission == SendPermission::later;
   if (deferred_) owner_.deferred_.emplace_back(transmissions_[0].doc, transmissions_[0].transmission);
   if (permission == SendPermission::never) abort(TransmissionResult::not_sent);
--- a/src/relay/endpoint_connection.h
+++ b/src/relay/endpoint_connection.h
@@ -27,8 +27,8 @@
   Connection(Endpoints& owner, const ConnectionSnapshot& snapshot);
   ConnectionSnapshot snapshot() const;
   bool active() const { return !transmissions_.empty() || draining_; }
-  // It has a call of which nothing was written.
-  bool is_unwritten() const { return !request_.empty(); }
+  // It has a call that is not wholly written.
+  bool is_unwritten() const { return !transmissions_.empty() && has_unwritten_bytes(); }
   bool deferred() const { return deferred_ && !request_.empty(); }
   const std::vector<InFlightTransmission>& transmissions() const { return transmissions_; }
   ~Connection() { --owner_.connections_; }
--- a/src/relay/endpoints.cpp
+++ b/src/relay/endpoints.cpp
@@ -32,16 +32,22 @@
 
 void Endpoints::set_address(EndpointId endpoint, const Address& address) {
   Pool& pool = pools_[endpoint];
-  if (pool.address != address) close_idle(endpoint);
+  if (pool.address == address) return;
   pool.address = address;
+  leave_address(endpoint, TransmissionResult::not_sent);
 }
 
 void Endpoints::give_up_address(EndpointId endpoint) {
+  leave_address(endpoint, TransmissionResult::not_connected);
+}
+
+// Whoever is at the old address now is not this endpoint.
+void Endpoints::leave_address(EndpointId endpoint, TransmissionResult unwritten_result) {
   close_idle(endpoint);
   std::vector<Connection*> unwritten;
   for (const auto& [connection, owned] : active_)
     if (connection->endpoint() == endpoint && connection->is_unwritten()) unwritten.push_back(owned.get());
-  for (Connection* connection : unwritten) connection->abort(TransmissionResult::not_connected);
+  for (Connection* connection : unwritten) connection->abort(unwritten_result);
 }
 
 // Connected ones are preferred to those still connecting, and then those that fewer documents may use.
--- a/src/relay/endpoints.h
+++ b/src/relay/endpoints.h
@@ -129,9 +129,10 @@
 
   // Applies to connections opened or becoming idle from now on.
   void set_timeouts(Millis connect_timeout, Millis idle_timeout);
-  void set_address(EndpointId endpoint, const Address& address);
-  // Another endpoint's process is at its address: calls that are not written yet are not, and idle
+  // Where the endpoint had another address before, calls that are not wholly written yet are not, and idle
   // connections are closed.
+  void set_address(EndpointId endpoint, const Address& address);
+  // Another endpoint's process is at its address: likewise.
   void give_up_address(EndpointId endpoint);
   // Opens a connection before any call needs it; once connected it is idle. A call may take it before it is
   // connected. Returns false and opens nothing if the endpoint is unknown or the connection limit is reached.
@@ -157,6 +158,7 @@
     bool deliveries_differ = true;                // no two of them had the same bytes
   };
 
+  void leave_address(EndpointId endpoint, TransmissionResult unwritten_result);
   void release(Connection& connection);
   void discard(Connection& connection, EndpointCloseReason reason);
   bool ensure_capacity();
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -239,6 +239,31 @@
   EXPECT_EQ(results(), Results(2, TransmissionResult::not_connected));
 }
 
+// A call went to whoever came up at an address that its endpoint had left: it was connecting, or waited.
+TEST_F(Calls, UnwrittenCallOfAnEndpointThatMoves) {
+  ScriptedEndpoint new_address;
+  may_write_ = SendPermission::later;
+  call({{1, 1000}, {2, 1000}});
+  run_until([&] { return server_.connections() == 1; });
+  endpoints_.set_address(endpoint, new_address.address);
+  EXPECT_EQ(results(), Results(2, TransmissionResult::not_sent));
+  may_write_ = SendPermission::now;
+  endpoints_.resume_deferred();
+  call({{3, 1000}});
+  run_until([&] { return new_address.has_request(0); });
+  EXPECT_EQ(server_.request(0), "");
+}
+
+// The same with a request of which a part is written: the rest would go to the old address.
+TEST_F(SlowReader, PartlyWrittenCallOfAnEndpointThatMoves) {
+  ScriptedEndpoint new_address;
+  call({{1, 30000}}, std::string(8 << 20, 'x'));
+  run_until([&] { return server_.has_unread_bytes(0); });
+  endpoints_.set_address(endpoint, new_address.address);
+  EXPECT_EQ(results(), Results{TransmissionResult::not_sent});
+  EXPECT_FALSE(server_.has_request(0));
+}
+
 // A reset within a request: its last byte is not written yet, so none of its documents has run.
 TEST_F(SlowReader, ResetWithinARequest) {
   // More than the socket buffers hold even when the system grows them.
