Keep in the store which endpoints have lost their address, for a process with an older list

Callers would see: a document at the process of another destination after a kill, or behind a process that hung.

Cause: who is at an address was known to one process. The list at a start may be older, and the next process sent by it until the agent had answered. Also, an endpoint was believed again once its successor at the address was gone.

Change: a metadata entry for each endpoint that is listed at an address where another process has started since, with that time. Such an endpoint stays gone until it has started anew or is listed elsewhere. This works as the entry is true for good: it may be read late and from two journals, and the later time counts. The form of the handover is 6.

--- a/src/decision/endpoint_addresses.cpp
+++ b/src/decision/endpoint_addresses.cpp
@@ -1,6 +1,7 @@
 #include "decision/endpoint_addresses.h"
 
 #include <algorithm>
+#include <set>
 
 #include "decision/state_archive.h"
 
@@ -13,13 +14,17 @@
   ClaimsByEndpoint claims;
   for (const AddressClaim& claim : listed) claims[claim.endpoint] = &claim;
   remove_departed(claims, full);
+  std::vector<EndpointId> gone;
   std::set<std::string> claimed;
   for (const auto& [endpoint, claim] : claims) {
     if (claim->status != EndpointStatus::ready || claim->address.empty()) continue;
+    if (is_outdated(*claim)) {
+      gone.push_back(endpoint);
+      continue;
+    }
     add_occupant(*claim);
     claimed.insert(claim->address);
   }
-  std::vector<EndpointId> gone;
   for (const std::string& address : claimed)
     for (EndpointId endpoint : remove_superseded(address)) gone.push_back(endpoint);
   return gone;
@@ -37,11 +42,21 @@
   for (auto& [address, occupants] : occupants_)
     std::erase_if(occupants, [&, &at = address](const auto& one) { return has_left(one.first, at); });
   std::erase_if(occupants_, [](const auto& one) { return one.second.empty(); });
+  for (auto& [where, supersession] : superseded_)
+    if (has_left(where.first, where.second)) supersession.listed = false;
   std::erase_if(superseded_, [&](const auto& one) {
-    return has_left(one.first, one.second) && occupants_.count(one.second) == 0;
+    return !one.second.listed && occupants_.count(one.first.second) == 0;
   });
 }
 
+// Whether another process has started at the address since this one did, even if that one has left by now.
+bool EndpointAddresses::is_outdated(const AddressClaim& claim) {
+  auto found = superseded_.find({claim.endpoint, claim.address});
+  if (found == superseded_.end()) return false;
+  found->second.listed = true;
+  return claim.started_at < found->second.successor_started_at;
+}
+
 void EndpointAddresses::add_occupant(const AddressClaim& claim) {
   Occupants& occupants = occupants_[claim.address];
   Occupant& occupant = occupants.try_emplace(claim.endpoint, Occupant{0, updates_}).first->second;
@@ -67,7 +82,7 @@
   for (const auto& one : occupants) {
     const bool is_there = is_candidate(one) && one.second.listed_in == last_listing;
     if (is_there) superseded_.erase({one.first, address});
-    else gone.push_back(one.first), superseded_.emplace(one.first, address);
+    else gone.push_back(one.first), superseded_[{one.first, address}] = {last_start, true};
   }
   for (EndpointId endpoint : gone) occupants.erase(endpoint);
   return gone;
@@ -80,7 +95,30 @@
 void EndpointAddresses::forget(EndpointId endpoint) {
   for (auto& [address, occupants] : occupants_) occupants.erase(endpoint);
   std::erase_if(occupants_, [](const auto& one) { return one.second.empty(); });
-  std::erase_if(superseded_, [&](const auto& one) { return one.first == endpoint; });
+  std::erase_if(superseded_, [&](const auto& one) { return one.first.first == endpoint; });
+}
+
+std::vector<SupersededEndpoint> EndpointAddresses::superseded() const {
+  std::vector<SupersededEndpoint> all;
+  for (const auto& [where, supersession] : superseded_)
+    if (supersession.listed && supersession.successor_started_at > 0)
+      all.push_back({where.first, where.second, supersession.successor_started_at});
+  return all;
+}
+
+std::vector<EndpointId> EndpointAddresses::restore(const std::vector<SupersededEndpoint>& superseded) {
+  std::vector<EndpointId> gone;
+  for (const auto& [endpoint, address, successor_started_at] : superseded) {
+    Supersession& known = superseded_[{endpoint, address}];
+    known.successor_started_at = std::max(known.successor_started_at, successor_started_at);
+    auto at = occupants_.find(address);
+    if (at == occupants_.end() || at->second.count(endpoint) == 0) continue;
+    if (at->second.at(endpoint).started_at >= successor_started_at) continue;
+    gone.push_back(endpoint);
+    at->second.erase(endpoint);
+    if (at->second.empty()) occupants_.erase(at);
+  }
+  return gone;
 }
 
 std::string EndpointAddresses::export_state() {
--- a/src/decision/endpoint_addresses.h
+++ b/src/decision/endpoint_addresses.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -23,6 +22,15 @@
   Millis started_at = 0;  // Unix time at which its process started; 0: long ago, or not known
 };
 
+// An endpoint that is listed at an address at which another one's process has started since. True for good: a
+// process that started before that one has ended.
+struct SupersededEndpoint {
+  EndpointId endpoint{};
+  std::string address;
+  Millis successor_started_at = 0;  // Unix time
+  bool operator==(const SupersededEndpoint&) const = default;
+};
+
 class EndpointAddresses {
  public:
   // Takes an update of the list. Returns the endpoints that are listed as ready or were before, and whose
@@ -32,6 +40,11 @@
   void forget(EndpointId endpoint);
   std::size_t size() const { return occupants_.size(); }  // addresses whose endpoint is known
 
+  // What the next process has to know after a restart, as its first list may be older: endpoints that the
+  // list still has, where start times tell. restore() returns those that were taken for ready until now.
+  std::vector<SupersededEndpoint> superseded() const;
+  std::vector<EndpointId> restore(const std::vector<SupersededEndpoint>& superseded);
+
   // All of this, for the process that replaces this one. import_state() throws where it cannot be read.
   std::string export_state();
   void import_state(const std::string& state);
@@ -45,8 +58,14 @@
   // More than one only while nothing tells which of them is there.
   using Occupants = std::map<EndpointId, Occupant>;
   using ClaimsByEndpoint = std::map<EndpointId, const AddressClaim*>;
+  struct Supersession {
+    Millis successor_started_at = 0;
+    bool listed = true;  // the list still has the endpoint at this address
+    auto fields() { return std::tie(successor_started_at, listed); }
+  };
 
   void remove_departed(const ClaimsByEndpoint& claims, bool full);
+  bool is_outdated(const AddressClaim& claim);
   void add_occupant(const AddressClaim& claim);
   std::vector<EndpointId> remove_superseded(const std::string& address);
   bool is_superseded(EndpointId endpoint, const std::string& address) const;
@@ -54,7 +73,7 @@
 
   std::uint64_t updates_ = 0;
   std::map<std::string, Occupants> occupants_;
-  std::set<std::pair<EndpointId, std::string>> superseded_;
+  std::map<std::pair<EndpointId, std::string>, Supersession> superseded_;
 };
 
 }  // namespace rockcrank
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -30,7 +30,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 5;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 6;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
@@ -47,8 +47,9 @@
 }
 
 std::string merge_metadata(const std::string& name, const std::string& one, const std::string& other) {
-  return RouteStateStore::owns_name(name) ? RouteStateStore::merge(one, other)
-                                          : peer::merge_metadata(name, one, other);
+  if (RouteStateStore::owns_name(name)) return RouteStateStore::merge(one, other);
+  if (AddressStore::owns_name(name)) return AddressStore::merge(one, other);
+  return peer::merge_metadata(name, one, other);
 }
 
 std::string busy_reply(Millis wait) {
@@ -209,7 +210,10 @@
   begin_turn();
   for (const std::string& endpoint : store_.offline_endpoints())
     decision_->set_offline(EndpointId(fnv1a_hash(endpoint)), true);
-  if (!taken_over_) apply_endpoint_list(config_.known_endpoints);
+  if (!taken_over_) {
+    restore_superseded();
+    apply_endpoint_list(config_.known_endpoints);
+  }
   if (fleet_) fleet_->start();
   if (route_state_store_ && !taken_over_) route_state_store_->restore();
   if (store_.has_recovered_file()) decision_->previous_process_ended();
@@ -345,6 +349,7 @@
   begin_turn();
   const Store::Adopted adopted = store_.adopt_orphaned_files();
   if (adopted.any_file) {
+    restore_superseded();
     if (fleet_) fleet_->on_previous_process_ended();
     if (route_state_store_) route_state_store_->restore();
   }
@@ -535,11 +540,7 @@
       claim.address = listed.address.host + ":" + std::to_string(listed.address.port);
     claims.push_back(std::move(claim));
   }
-  const auto superseded = addresses_.update(claims, list.full);
-  addresses_taken_ += superseded.size();
-  for (EndpointId endpoint : superseded)
-    log_line("event=address_taken endpoint=%llx", static_cast<unsigned long long>(endpoint));
-  return superseded;
+  return addresses_.update(claims, list.full);
 }
 
 void Relay::apply_endpoint_list(const EndpointListUpdate& list) {
@@ -557,15 +558,30 @@
     if (listed.address.port != 0) endpoints_.set_address(listed.entry.endpoint, listed.address);
     if (listed.entry.status == EndpointStatus::ready) known_endpoints_[listed.entry.endpoint] = listed.entry;
   }
+  give_up(superseded, std::move(entries), list.full);
+  address_store_.save(addresses_.superseded());
+  list_version_ = list.version;
+}
+
+// What the process before knew: the first list of this one may be older.
+void Relay::restore_superseded() {
+  const std::vector<EndpointId> superseded = addresses_.restore(address_store_.load());
+  if (!superseded.empty()) give_up(superseded, {}, false);
+}
+
+// Passes the entries of a list on, and that these endpoints are gone, whatever it says.
+void Relay::give_up(const std::vector<EndpointId>& superseded, std::vector<EndpointEntry> entries,
+                    bool full) {
+  addresses_taken_ += superseded.size();
   for (EndpointId endpoint : superseded) {
+    log_line("event=address_taken endpoint=%llx", static_cast<unsigned long long>(endpoint));
     EndpointEntry gone;
     gone.endpoint = endpoint;
     gone.status = EndpointStatus::gone;
     entries.push_back(gone);
   }
-  decision_->update_endpoints(entries, list.full);
+  decision_->update_endpoints(entries, full);
   for (EndpointId endpoint : superseded) endpoints_.give_up_address(endpoint);
-  list_version_ = list.version;
 }
 
 void Relay::enqueue(const EnqueueCommand& command, ReplyTo reply_to) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -15,6 +15,7 @@
 #include "decision/endpoint_addresses.h"
 #include "peer/fleet.h"
 #include "peer/route_gossip_socket.h"
+#include "relay/address_store.h"
 #include "relay/admin.h"
 #include "relay/clients.h"
 #include "relay/config.h"
@@ -61,6 +62,8 @@
   void log_over(const Outcome& outcome) const;
   void apply_endpoint_list(const EndpointListUpdate& list);
   std::vector<EndpointId> superseded_by(const EndpointListUpdate& list);
+  void restore_superseded();
+  void give_up(const std::vector<EndpointId>& superseded, std::vector<EndpointEntry> entries, bool full);
   SendPermission may_write(DocId doc, int transmission);
   Millis view_age() const;  // since all that had arrived was read
   void refresh_view();
@@ -135,6 +138,7 @@
   std::optional<RouteStateStore> route_state_store_;
   std::map<EndpointId, EndpointEntry> known_endpoints_;
   EndpointAddresses addresses_;
+  AddressStore address_store_{store_};
   std::uint64_t addresses_taken_ = 0;  // how often an update of the list had an endpoint at another's address
   std::vector<NewDocument> new_documents_;
   std::vector<Outcome> unsent_outcomes_;  // reported to the module in the next turn
