Keep what is known from the endpoint list in a part of its own, and hand it over as one

Change: EndpointDirectory has all of it, with one pair of functions that write and read it for the next process; relay.cpp loses what it did with a list. No behaviour changes. The form of the handover is 7.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -30,7 +30,7 @@
 constexpr Millis late_round = 50;  // a timer later than this is logged, as this process was held up
 constexpr Millis late_log_interval = 1000;
 constexpr Millis orphan_poll_interval = 50;  // for the end of a process that still owns its file
-constexpr int handover_format = 6;  // incremented with every change of what make_handover_payload() returns
+constexpr int handover_format = 7;  // incremented with every change of what make_handover_payload() returns
 
 using Json = nlohmann::json;
 
@@ -141,7 +141,7 @@
     return record_in_doubt(endpoint, calls);
   };
   loop_.on_timer = [this](Millis late) { on_timer(late); };
-  watch_.version = [this] { return list_version_; };
+  watch_.version = [this] { return directory_.version(); };
   watch_.on_failure = [this](bool turned_away, Millis took) {
     begin_turn();
     ++list_failures_;
@@ -151,8 +151,8 @@
     try {
       apply_endpoint_list(config_.parse_endpoint_list(nlohmann::json::parse(body)));
       if (auto failures = std::exchange(list_failures_, 0); failures > 0)
-        log_line("endpoint list: version %lld after %d failures", static_cast<long long>(list_version_),
-                 failures);
+        log_line("endpoint list: version %lld after %d failures",
+                 static_cast<long long>(directory_.version()), failures);
       return true;
     } catch (const std::exception& error) {
       log_line("endpoint list: %s", error.what());
@@ -175,7 +175,7 @@
 
 void Relay::start_fleet() {
   fleet_context_.emplace(peer::RelayContext{
-      loop_, *decision_, store_, endpoints_, config_, known_endpoints_, [this] { begin_turn(); },
+      loop_, *decision_, store_, endpoints_, config_, directory_.entries(), [this] { begin_turn(); },
       [this] { return decision_time_; }, [this](DocId doc) { begin_turn(), resume_document(doc); },
       [this](DocId doc) { release(doc); },
       [this](DocId doc, bool accepted) { answer_pending(doc, accepted); },
@@ -416,14 +416,11 @@
         {add_descriptor(snapshot.fd), snapshot.connecting, snapshot.unconsumed, snapshot.unsent});
   };
   auto store = store_.handover_state();
-  Json all{{"form", handover_format}, {"version", list_version_}, {"decision", decision_->export_state()}};
-  all["addresses"] = addresses_.export_state();
+  Json all{{"form", handover_format}, {"decision", decision_->export_state()}};
+  all["directory"] = directory_.export_state();
   all["store"] = {
       store.path,       store.snapshot,      add_descriptor(store.descriptor), store.last_doc_number,
       store.file_bytes, store.rewrite_needed};
-  for (const auto& [endpoint, entry] : known_endpoints_)
-    all["known"].push_back(
-        Json::array({endpoint, entry.destination, entry.kind, entry.zone, entry.listed_rate}));
   for (const auto& [endpoint, at] : endpoints_.addresses())
     all["places"].push_back(Json::array({endpoint, at.host, at.port}));
   for (const auto& one : clients_.snapshot())
@@ -475,22 +472,14 @@
   counts.unread_bytes = clients_.unread_bytes();
   counts.clients = clients_.size();
   counts.calls = endpoints_.calls_in_flight();
-  counts.addresses = addresses_.size();
+  counts.addresses = directory_.addresses_known();
   return counts;
 }
 
 void Relay::take_over(const Json& state, HandoverPayload& payload) {
   decision_->import_state(state.at("decision").get<std::string>());
-  list_version_ = state.at("version").get<std::int64_t>();
-  addresses_.import_state(state.at("addresses").get<std::string>());
+  directory_.import_state(state.at("directory"));
   auto list = [&](const char* name) { return state.value(name, Json::array()); };
-  for (const auto& one : list("known")) {
-    EndpointEntry entry;
-    entry.endpoint = one.at(0).get<EndpointId>(), entry.destination = one.at(1).get<DestinationId>();
-    entry.kind = one.at(2).get<DestinationKindId>(), entry.zone = one.at(3).get<ZoneId>();
-    entry.listed_rate = one.at(4).get<double>();
-    known_endpoints_[entry.endpoint] = entry;
-  }
   for (const auto& one : list("places"))
     endpoints_.set_address(one.at(0).get<EndpointId>(), {one.at(1).get<std::string>(), one.at(2).get<int>()});
   auto stream = [&](const Json& one) {
@@ -532,47 +521,25 @@
   if (!counts.is_whole()) throw std::runtime_error("the handover state is not whole");
 }
 
-std::vector<EndpointId> Relay::superseded_by(const EndpointListUpdate& list) {
-  std::vector<AddressClaim> claims;
-  for (const auto& listed : list.entries) {
-    AddressClaim claim{listed.entry.endpoint, listed.entry.status, {}, listed.started_at};
-    if (listed.address.port != 0)
-      claim.address = listed.address.host + ":" + std::to_string(listed.address.port);
-    claims.push_back(std::move(claim));
-  }
-  return addresses_.update(claims, list.full);
-}
-
 void Relay::apply_endpoint_list(const EndpointListUpdate& list) {
   begin_turn();
+  const auto changes = directory_.update(list, config_.settings.destination_kinds.size());
   std::vector<EndpointEntry> entries;
-  const std::vector<EndpointId> superseded = superseded_by(list);
-  for (const auto& listed : list.entries) {
-    if (std::ranges::count(superseded, listed.entry.endpoint) > 0) continue;
-    auto fits = static_cast<std::size_t>(listed.entry.kind) < config_.settings.destination_kinds.size();
-    if (!fits) continue;
+  for (const auto& listed : changes.listed) {
     entries.push_back(listed.entry);
-    // One that is not listed matters only if it is known from before.
-    if (listed.entry.status != EndpointStatus::ready && !known_endpoints_.count(listed.entry.endpoint))
-      continue;
     if (listed.address.port != 0) endpoints_.set_address(listed.entry.endpoint, listed.address);
-    if (listed.entry.status == EndpointStatus::ready) known_endpoints_[listed.entry.endpoint] = listed.entry;
   }
-  give_up(superseded, std::move(entries), list.full);
-  address_store_.save(addresses_.superseded());
-  list_version_ = list.version;
+  give_up(changes.superseded, std::move(entries), list.full);
 }
 
-// What the process before knew: the first list of this one may be older.
 void Relay::restore_superseded() {
-  const std::vector<EndpointId> superseded = addresses_.restore(address_store_.load());
+  const std::vector<EndpointId> superseded = directory_.restore_superseded();
   if (!superseded.empty()) give_up(superseded, {}, false);
 }
 
 // Passes the entries of a list on, and that these endpoints are gone, whatever it says.
 void Relay::give_up(const std::vector<EndpointId>& superseded, std::vector<EndpointEntry> entries,
                     bool full) {
-  addresses_taken_ += superseded.size();
   for (EndpointId endpoint : superseded) {
     log_line("event=address_taken endpoint=%llx", static_cast<unsigned long long>(endpoint));
     EndpointEntry gone;
@@ -758,7 +725,7 @@
     auto found = store_.documents().find(sent.doc);
     if (found == store_.documents().end()) continue;
     auto transmission = found->second.transmissions;
-    store_.record_transmission(sent.doc, transmission, wall, known_endpoints_.at(sent.endpoint).zone);
+    store_.record_transmission(sent.doc, transmission, wall, directory_.entries().at(sent.endpoint).zone);
     // The transmission is counted here, but can only run once its request is written; record_in_doubt()
     // records that. With a fleet the copies have to confirm it before, so it stays recorded from here on.
     if (!fleet_) store_.record_never_ran(sent.doc, transmission);
@@ -774,8 +741,7 @@
   for (const auto& call : actions.canceled) endpoints_.cancel(call.doc, call.transmission);
   for (EndpointId endpoint : actions.forgotten_endpoints) {
     endpoints_.remove(endpoint);
-    addresses_.forget(endpoint);
-    known_endpoints_.erase(endpoint);
+    directory_.forget(endpoint);
   }
 }
 
@@ -794,7 +760,7 @@
   if (fleet_) return true;  // recorded when it was chosen
   auto wall = EventLoop::wall_time();
   for (const auto& call : calls)
-    store_.record_transmission(call.doc, call.transmission, wall, known_endpoints_.at(endpoint).zone);
+    store_.record_transmission(call.doc, call.transmission, wall, directory_.entries().at(endpoint).zone);
   return store_.flush() || std::ranges::all_of(calls, [&](const auto& call) {
            auto found = store_.documents().find(call.doc);
            return found == store_.documents().end() || may_send_unrecorded(found->second);
@@ -908,7 +874,7 @@
     auto found = store_.documents().find(sent.doc);
     if (found == store_.documents().end()) continue;
     const StoredDocument& stored = found->second;
-    auto kind = static_cast<std::size_t>(known_endpoints_.at(sent.endpoint).kind);
+    auto kind = static_cast<std::size_t>(directory_.entries().at(sent.endpoint).kind);
     auto max_size =
         static_cast<std::size_t>(std::max(1, config_.settings.destination_kinds.at(kind).max_batch_size));
     auto bytes = Endpoints::batch_item_bytes(stored.id, stored.idempotency_key, stored.body);
@@ -967,7 +933,7 @@
 // round.
 std::string Relay::set_offline(const std::string& name, bool offline) {
   EndpointId endpoint{fnv1a_hash(name)};
-  if (!known_endpoints_.count(endpoint) && !store_.offline_endpoints().count(name))
+  if (!directory_.entries().count(endpoint) && !store_.offline_endpoints().count(name))
     return "no such endpoint: " + rockcrank::quote_excerpt(name);
   if (!store_.set_offline(name, offline))
     return "it cannot be noted: the folder is full or cannot be written";
@@ -1026,8 +992,8 @@
     auto reason = static_cast<EndpointCloseReason>(i);
     add((std::string("connections_closed_") + name_of(reason)).c_str(), endpoints_.closed_count(reason));
   }
-  add("addresses_known", addresses_.size());
-  add("addresses_taken", addresses_taken_);
+  add("addresses_known", directory_.addresses_known());
+  add("addresses_taken", directory_.addresses_taken());
   add("views_refreshed", views_refreshed_);
   add("late_rounds", late_rounds_);
   add("latest_round_ms", static_cast<std::uint64_t>(latest_round_));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,14 +12,13 @@
 #include <vector>
 
 #include "decision/decision.h"
-#include "decision/endpoint_addresses.h"
 #include "peer/fleet.h"
 #include "peer/route_gossip_socket.h"
-#include "relay/address_store.h"
 #include "relay/admin.h"
 #include "relay/clients.h"
 #include "relay/config.h"
 #include "relay/discovery.h"
+#include "relay/endpoint_directory.h"
 #include "relay/endpoints.h"
 #include "relay/handover.h"
 #include "relay/handover_counts.h"
@@ -61,7 +60,6 @@
   void log_decision(const LogLine& line) const;
   void log_over(const Outcome& outcome) const;
   void apply_endpoint_list(const EndpointListUpdate& list);
-  std::vector<EndpointId> superseded_by(const EndpointListUpdate& list);
   void restore_superseded();
   void give_up(const std::vector<EndpointId>& superseded, std::vector<EndpointEntry> entries, bool full);
   SendPermission may_write(DocId doc, int transmission);
@@ -136,13 +134,9 @@
 
   // Without a fleet file only: the fleet shares this state otherwise.
   std::optional<RouteStateStore> route_state_store_;
-  std::map<EndpointId, EndpointEntry> known_endpoints_;
-  EndpointAddresses addresses_;
-  AddressStore address_store_{store_};
-  std::uint64_t addresses_taken_ = 0;  // how often an update of the list had an endpoint at another's address
+  EndpointDirectory directory_{store_};
   std::vector<NewDocument> new_documents_;
   std::vector<Outcome> unsent_outcomes_;  // reported to the module in the next turn
-  std::int64_t list_version_ = -1;
   int list_failures_ = 0;
   Millis last_turn_at_ = -1e18;
   Millis decision_time_ = 0;  // the time that the decision module was given last
