Keep what is known by the order of listing alone for the next process, too

Callers would see: a document at the process of another destination after a kill, where the list tells no start times, or equal ones.

Cause: only what start times tell was stored, so a list that has both endpoints told nothing apart at the next start. Beside it, an endpoint that the list still has was believed again once the decision module had forgotten it.

Change: both are stored and kept. Of two endpoints with equal times the one that was followed gives way to the other, if the list has both; alone it is believed. This works as the entry never outweighs a later start.

--- a/src/decision/endpoint_addresses.cpp
+++ b/src/decision/endpoint_addresses.cpp
@@ -95,14 +95,14 @@
 void EndpointAddresses::forget(EndpointId endpoint) {
   for (auto& [address, occupants] : occupants_) occupants.erase(endpoint);
   std::erase_if(occupants_, [](const auto& one) { return one.second.empty(); });
-  std::erase_if(superseded_, [&](const auto& one) { return one.first.first == endpoint; });
+  std::erase_if(superseded_,
+                [&](const auto& one) { return one.first.first == endpoint && !one.second.listed; });
 }
 
 std::vector<SupersededEndpoint> EndpointAddresses::superseded() const {
   std::vector<SupersededEndpoint> all;
   for (const auto& [where, supersession] : superseded_)
-    if (supersession.listed && supersession.successor_started_at > 0)
-      all.push_back({where.first, where.second, supersession.successor_started_at});
+    if (supersession.listed) all.push_back({where.first, where.second, supersession.successor_started_at});
   return all;
 }
 
@@ -113,9 +113,12 @@
     known.successor_started_at = std::max(known.successor_started_at, successor_started_at);
     auto at = occupants_.find(address);
     if (at == occupants_.end() || at->second.count(endpoint) == 0) continue;
-    if (at->second.at(endpoint).started_at >= successor_started_at) continue;
-    gone.push_back(endpoint);
-    at->second.erase(endpoint);
+    if (at->second.at(endpoint).started_at < successor_started_at) {
+      gone.push_back(endpoint);
+      at->second.erase(endpoint);
+    } else {
+      for (EndpointId other : remove_superseded(address)) gone.push_back(other);
+    }
     if (at->second.empty()) occupants_.erase(at);
   }
   return gone;
--- a/src/decision/endpoint_addresses.h
+++ b/src/decision/endpoint_addresses.h
@@ -23,7 +23,8 @@
 };
 
 // An endpoint that is listed at an address at which another one's process has started since. True for good: a
-// process that started before that one has ended.
+// process that started before that one has ended. Where the times are alike, it is known by the order of
+// listing only, and counts against the other one alone.
 struct SupersededEndpoint {
   EndpointId endpoint{};
   std::string address;
@@ -37,11 +38,11 @@
   // address is now another endpoint's: they are gone, whatever the list says. full: endpoints that it leaves
   // out have no address any more.
   std::vector<EndpointId> update(const std::vector<AddressClaim>& listed, bool full);
-  void forget(EndpointId endpoint);
+  void forget(EndpointId endpoint);                       // but for what the list still has
   std::size_t size() const { return occupants_.size(); }  // addresses whose endpoint is known
 
   // What the next process has to know after a restart, as its first list may be older: endpoints that the
-  // list still has, where start times tell. restore() returns those that were taken for ready until now.
+  // list still has. restore() returns those that were taken for ready until now.
   std::vector<SupersededEndpoint> superseded() const;
   std::vector<EndpointId> restore(const std::vector<SupersededEndpoint>& superseded);
 
--- a/tests/decision/endpoint_addresses_test.cpp
+++ b/tests/decision/endpoint_addresses_test.cpp
@@ -198,6 +198,32 @@
   }
 }
 
+// The same where start times are alike: the list at the start has both, and its order tells nothing.
+TEST(EndpointAddresses, WithoutTimesTheNextProcessKnowsWhoWasListedLater) {
+  EndpointAddresses addresses;
+  EXPECT_EQ(addresses.update({ready(first, 0)}, true), Ids{});
+  EXPECT_EQ(addresses.update({ready(second, 0)}, false), Ids{first});
+  EndpointAddresses restarted, hears_late;
+  EXPECT_EQ(restarted.restore(addresses.superseded()), Ids{});
+  EXPECT_EQ(restarted.update({ready(first, 0), ready(second, 0)}, true), Ids{first});
+  EXPECT_EQ(hears_late.update({ready(first, 0), ready(second, 0)}, true), Ids{});
+  EXPECT_EQ(hears_late.restore(addresses.superseded()), Ids{first});
+  // Alone, nothing speaks against it.
+  EndpointAddresses alone;
+  EXPECT_EQ(alone.restore(addresses.superseded()), Ids{});
+  EXPECT_EQ(alone.update({ready(first, 0)}, true), Ids{});
+}
+
+// The decision module has forgotten it, and the list that is late still has it.
+TEST(EndpointAddresses, WhatTheListStillHasIsNotForgotten) {
+  EndpointAddresses addresses;
+  EXPECT_EQ(addresses.update({ready(first, 0)}, true), Ids{});
+  EXPECT_EQ(addresses.update({ready(second, 5)}, false), Ids{first});
+  addresses.forget(first);
+  EXPECT_EQ(addresses.update({{second, EndpointStatus::gone, {}, 5}}, false), Ids{});
+  EXPECT_EQ(addresses.update({ready(first, 0)}, false), Ids{first});
+}
+
 // What is kept for the next process is bounded by the list.
 TEST(EndpointAddresses, NothingIsKeptOfAnEndpointThatTheListHasNoMore) {
   const AddressClaim gone{first, EndpointStatus::gone, {}, 0};
